--- a/olivedoor/__init__.py
+++ b/harepick/__init__.py
@@ -1,7 +1,7 @@
 """Overload control decisions of a call controller in front of a few central servers."""
 
-from olivedoor.decide import Controller
-from olivedoor.interface import (
+from harepick.decide import Controller
+from harepick.interface import (
     Action,
     AttemptEnded,
     CallArrived,
--- a/olivedoor/decide.py
+++ b/harepick/decide.py
@@ -1,4 +1,4 @@
-"""The decisions of one front. Types, settings, events and actions: `olivedoor/interface.py`.
+"""The decisions of one front. Types, settings, events and actions: `harepick/interface.py`.
 
 A call's way: `_arrive` books it, `_route` picks a server (first choice while open, else the one that last
 worked) or lets a tried call through the token gate, `_send` - the one chokepoint - applies the guards of the
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import Iterable
 
-from olivedoor import interface as i
+from harepick import interface as i
 
 INTERVALS_PER_AIM = 4  # T is the tightest aim over this: control must act within the aim it protects
 PMAX = 0.80  # the paper's design level; u drops to 0 above it
--- a/olivedoor/interface.py
+++ b/harepick/interface.py
@@ -1,4 +1,4 @@
-"""Types, events and actions of the decision module `olivedoor.decide`.
+"""Types, events and actions of the decision module `harepick.decide`.
 
 Times are seconds on the host's clock; durations are seconds. A host builds `Settings`, creates one
 `Controller` per front and feeds it batches of events; the controller answers with actions.
--- a/olivedoor/simhost.py
+++ b/harepick/simhost.py
@@ -1,6 +1,6 @@
 """Runs many isolated controllers on the line wire (one JSON array a line) over standard input and output.
 
-This file translates and nothing more: every decision is made in `olivedoor.decide`.
+This file translates and nothing more: every decision is made in `harepick.decide`.
 """
 
 from __future__ import annotations
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any, TextIO
 
-from olivedoor import interface as i
-from olivedoor.decide import Controller
+from harepick import interface as i
+from harepick.decide import Controller
 
 OUTCOMES = {
     0: i.Outcome.OK,
@@ -190,7 +190,7 @@
             settings = read_settings(options)
             controller = Controller(settings, seed, now)
         except Exception as error:
-            print(f"olivedoor: instance {front}: {error}", file=sys.stderr)
+            print(f"harepick: instance {front}: {error}", file=sys.stderr)
             self._failed[front] = str(error)
             replies.append(["Exception", front, str(error)])
             return
@@ -206,7 +206,7 @@
                 actions = self._controllers[front].step(now, events)
             except Exception as error:
                 text = f"{type(error).__name__}: {error}"
-                print(f"olivedoor: instance {front}: {text}", file=sys.stderr)
+                print(f"harepick: instance {front}: {text}", file=sys.stderr)
                 del self._controllers[front]
                 self._failed[front] = text
                 replies.append(["Exception", front, text])
@@ -345,7 +345,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except WireError as error:
-        print(f"olivedoor: {error}", file=sys.stderr)
+        print(f"harepick: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from olivedoor import interface as i
+from harepick import interface as i
 
 from .world import World, entries, settings
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from olivedoor import interface as i
-from olivedoor.decide import Call
+from harepick import interface as i
+from harepick.decide import Call
 
 from .world import LOW, World, entries, settings
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from olivedoor import decide
-from olivedoor import interface as i
+from harepick import decide
+from harepick import interface as i
 
 from .world import World, entries, settings
 
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -6,7 +6,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from olivedoor import interface as i
+from harepick import interface as i
 
 from .world import World, entries, settings
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from olivedoor.simhost import Host, SettingsError, WireError, parse, read_settings
+from harepick.simhost import Host, SettingsError, WireError, parse, read_settings
 
 ROOT = Path(__file__).parent.parent
 OPTIONS: dict[str, Any] = {
--- a/tests/world.py
+++ b/tests/world.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from olivedoor import interface as i
-from olivedoor.decide import Controller
+from harepick import interface as i
+from harepick.decide import Controller
 
 LOW = i.CallClass("low", aim=1.5, give_up=9.0, worth=1.0, late_share=0.25)
 HIGH = i.CallClass("high", aim=1.0, give_up=6.0, worth=8.0, late_share=0.1)
