--- /dev/null
+++ b/harepick/core/engine.py
@@ -0,0 +1,344 @@
+"""The engine: the one task that owns the `Controller`.
+
+It drains the inbox into a batch, has the ledger book each word, steps the module, and hands the module's
+actions to the ports. It decides nothing itself: attempt numbers and outcomes are those that the simulator
+would give, so that the module sees the same world on sockets as on the bench.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from harepick import interface as i
+from harepick.core.inbox import Inbox
+from harepick.core.ledger import Entry, Ledger
+from harepick.core.timers import Timers
+from harepick.core.words import (
+    Answered,
+    Attempt,
+    AttemptOver,
+    CallerGone,
+    CallOver,
+    Offer,
+    ServerDied,
+    Servers,
+    Told,
+    Word,
+)
+from harepick.counters import Counters
+from harepick.decide import Controller
+from harepick.log import Log
+
+SETTLED = (i.Outcome.FULL, i.Outcome.UNREACHED, i.Outcome.MOOT)
+
+
+class Engine:
+    def __init__(
+        self,
+        settings: i.Settings,
+        seed: int,
+        servers: Servers,
+        inbox: Inbox,
+        counters: Counters,
+        log: Log,
+        room: int = 20_000,
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._inbox = inbox
+        self._settings = settings
+        self._servers = servers
+        self._counters = counters
+        self._log = log
+        self._clock = clock
+        self._ledger = Ledger(room)
+        self._timers: Timers[int | Attempt | Entry] = Timers()
+        self._off: set[str] = set()  # servers told to drain or to be gone
+        self._listed: dict[str, float] = {}  # servers heard of -> their last start
+        self._late: deque[i.Event] = deque()  # ends of attempts that were over as soon as placed
+        self._controller = Controller(settings, seed, clock())
+
+    @property
+    def idle(self) -> bool:
+        return len(self._ledger) == 0
+
+    @property
+    def owing(self) -> int:
+        """Calls that still wait for their final answer."""
+        return len(self._ledger.unanswered())
+
+    async def run(self, known: i.ServerList) -> None:
+        """Serves until cancelled."""
+        self.begin(known)
+        while True:
+            words = await self._inbox.drain(self._timers.next_due() - self._clock())
+            self.turn(words)
+
+    def begin(self, known: i.ServerList) -> None:
+        self._perform(self._controller.start())
+        self.turn([Told(known)])
+
+    def turn(self, words: Iterable[Word]) -> None:
+        """One batch."""
+        now = self._clock()
+        events: list[i.Event] = []
+        for word in words:
+            events += self._hear(word, now)
+        for item in self._timers.due(now):
+            if isinstance(item, Attempt):
+                events += self._timed_out(item, now)
+            elif isinstance(item, Entry):
+                events += self._overdue(item)
+            else:
+                events.append(i.Woken(item))
+        while events:
+            self._counters.add("core.events", len(events))
+            self._perform(self._controller.step(now, events))
+            events = list(self._late)
+            self._late.clear()
+
+    def give_up(self) -> None:
+        """The end of the program: fails what is unanswered and releases what stands."""
+        for entry in self._ledger.unanswered():
+            self._counters.add("answers.failed")
+            entry.answered = True
+            entry.offer.caller.failed()
+            if entry.out:
+                self._servers.cancel(entry.out)
+        for entry in self._ledger.standing():
+            self._servers.release(str(entry.standing_at), entry.offer.call)
+            entry.offer.caller.over(cut=True)
+            self._counters.add("calls.cut_at_exit")
+
+    # Words into events
+
+    def _hear(self, word: Word, now: float) -> list[i.Event]:
+        match word:
+            case Offer():
+                return self._offered(word, now)
+            case Answered():
+                return self._answered(word, now)
+            case AttemptOver(attempt, outcome, cause):
+                return self._ended(attempt, outcome, now, cause)
+            case CallOver(call, server, cut):
+                entry = self._ledger.get(call)
+                if entry is None or entry.standing_at != server:
+                    self._counters.add("core.late_words")
+                    return []
+                return [self._fall(entry, now, i.Outcome.RESET if cut else i.Outcome.OK)]
+            case CallerGone(call):
+                return self._gone(call, now)
+            case ServerDied(server, at):
+                stood = [e for e in self._ledger.standing(server) if e.stood <= at]
+                return [self._fall(entry, now, i.Outcome.RESET) for entry in stood]
+            case Told(event):
+                if isinstance(event, i.ServerList):
+                    return [event, *self._listing(event, now)]
+                return [event]
+
+    def _offered(self, offer: Offer, now: float) -> list[i.Event]:
+        if offer.call in self._ledger:  # the same set-up twice: one answer is owed, and on its way
+            self._counters.add("calls.duplicate")
+            return []
+        if self._ledger.full:  # memory is bounded; the caller is told to stay away as long as it can be
+            self._counters.add("answers.no_room")
+            offer.caller.refused(self._settings.max_advice)
+            return []
+        self._counters.add("calls.taken")
+        entry = self._ledger.book(offer)
+        self._timers.set(offer.deadline + self._settings.answer_grace, entry)
+        return [
+            i.CallArrived(
+                call=offer.call,
+                destination=offer.destination,
+                deadline=offer.deadline,
+                class_name=offer.class_name,
+                redial=offer.redial,
+                number=offer.number,
+            )
+        ]
+
+    def _answered(self, word: Answered, now: float) -> list[i.Event]:
+        entry = self._ledger.get(word.call)
+        attempt = entry.out if entry else None
+        if entry and entry.standing_at == word.server and entry.standing_attempt == word.attempt:
+            self._counters.add("core.late_words")  # the same answer again
+            return []
+        if (
+            entry is None
+            or attempt is None
+            or entry.answered
+            or attempt.revoked  # the cancel crossed this answer: what stands there is released
+            or (attempt.number, attempt.server) != (word.attempt, word.server)
+            or now > attempt.deadline + self._settings.answer_grace
+        ):
+            self._counters.add("answers.too_late")
+            if word.lasting:
+                self._servers.release(word.server, word.call)
+            return []
+        attempt.ended = True
+        entry.out = None
+        entry.answered = True
+        entry.offer.caller.stands(word.description)
+        self._counters.add("answers.stands")
+        since = now - (attempt.sent or attempt.placed)
+        events: list[i.Event] = [i.CallStands(word.call, word.attempt, word.server, since)]
+        entry.standing_at, entry.stood, entry.standing_attempt = word.server, now, word.attempt
+        if not word.lasting:
+            events.append(self._fall(entry, now, i.Outcome.OK, told=False))
+        return events
+
+    def _ended(self, attempt: Attempt, outcome: i.Outcome, now: float, cause: int = 0) -> list[i.Event]:
+        entry = self._ledger.get(attempt.call)
+        if attempt.ended or entry is None or entry.out is not attempt:
+            self._counters.add("core.late_words")
+            return []
+        attempt.ended = True
+        entry.out = None
+        self._counters.add(f"attempts.{outcome.value}")
+        if attempt.revoked and outcome not in SETTLED:
+            outcome = i.Outcome.CANCELLED
+        since = now - (attempt.sent or attempt.placed)
+        self._ledger.close(entry)
+        return [
+            i.AttemptEnded(
+                attempt.call, attempt.number, attempt.server, outcome, since, entry.answered, cause
+            )
+        ]
+
+    def _timed_out(self, attempt: Attempt, now: float) -> list[i.Event]:
+        """The caller's time is over; the attempt is given up towards the server as well."""
+        if attempt.ended:
+            return []
+        self._servers.cancel(attempt)
+        return self._ended(attempt, i.Outcome.TIMEOUT, now)
+
+    def _overdue(self, entry: Entry) -> list[i.Event]:
+        """Guards the deadline itself: a call that the module let slip still gets its answer."""
+        if entry.answered:
+            return []
+        self._counters.add("answers.overdue")
+        entry.answered = True
+        entry.offer.caller.failed()
+        self._ledger.close(entry)
+        return [i.CallerLeft(entry.offer.call)]
+
+    def _gone(self, call: str, now: float) -> list[i.Event]:
+        entry = self._ledger.get(call)
+        if entry is None:
+            self._counters.add("core.late_words")
+            return []
+        if entry.standing_at is not None:
+            self._servers.release(entry.standing_at, call)
+            return [self._fall(entry, now, i.Outcome.CANCELLED, told=False)]
+        if entry.answered:
+            self._counters.add("core.late_words")
+            return []
+        entry.answered = True
+        self._counters.add("calls.given_up")
+        self._ledger.close(entry)
+        return [i.CallerLeft(call)]
+
+    def _fall(self, entry: Entry, now: float, outcome: i.Outcome, *, told: bool = True) -> i.Event:
+        """A standing call ends; its caller is told unless the end came from there."""
+        server = str(entry.standing_at)
+        entry.standing_at = None
+        if told:
+            entry.offer.caller.over(cut=outcome is not i.Outcome.OK)
+        self._counters.add(f"calls.{outcome.value}")
+        self._ledger.close(entry)
+        return i.AttemptEnded(
+            entry.offer.call, entry.standing_attempt, server, outcome, now - entry.stood, True
+        )
+
+    def _listing(self, event: i.ServerList, now: float) -> list[i.Event]:
+        """What a list says of standing calls: a server that is gone or has started anew has cut them."""
+        events: list[i.Event] = []
+        for row in event.entries:
+            anew = row.started > self._listed.get(row.server, row.started)
+            self._listed[row.server] = row.started
+            if row.state == "ready":
+                self._off.discard(row.server)
+            else:
+                self._off.add(row.server)
+            if row.state == "gone" or anew:
+                at = row.started if anew and row.state != "gone" else now
+                events += self._hear(ServerDied(row.server, at), now)
+        return events
+
+    # Actions
+
+    def _perform(self, actions: Iterable[i.Action]) -> None:
+        now = self._clock()
+        for action in actions:
+            match action:
+                case i.Send(call, server, timeout):
+                    self._send(call, server, timeout, now)
+                case i.Cancel(call, number):
+                    self._cancel(call, number, now)
+                case i.Refuse(call, come_back):
+                    if entry := self._final(call):
+                        self._counters.add("answers.refused")
+                        entry.offer.caller.refused(come_back)
+                case i.Fail(call):
+                    if entry := self._final(call):
+                        self._counters.add("answers.failed")
+                        entry.offer.caller.failed()
+                case i.WakeAfter(delay, token):
+                    self._timers.set(now + delay, token)
+                case i.Log(text):
+                    self._log.event("module", text=text)
+                case _:
+                    self._counters.add("core.actions_without_port")
+
+    def _final(self, call: str) -> Entry | None:
+        entry = self._ledger.owed(call)
+        if entry is None:
+            self._counters.add("core.late_words")
+            return None
+        entry.answered = True
+        self._ledger.close(entry)
+        return entry
+
+    def _send(self, call: str, server: str, timeout: float, now: float) -> None:
+        entry = self._ledger.get(call)
+        if entry is None or entry.out is not None or entry.standing_at is not None:
+            self._counters.add("core.bad_actions")
+            self._log.event("bad_action", action="send", call=call)
+            return
+        offer = entry.offer
+        deadline = min(offer.deadline, now + timeout) if timeout > 0 else offer.deadline
+        attempt = Attempt(call, entry.tries, server, now, deadline, offer.request, self._may_leave)
+        entry.tries += 1
+        if entry.answered or now >= deadline or entry.tries > self._settings.try_limit:
+            outcome: i.Outcome | None = i.Outcome.MOOT
+        else:
+            entry.out = attempt
+            self._counters.add("attempts.placed")
+            outcome = self._servers.place(attempt)
+        if outcome is None:
+            self._timers.set(deadline, attempt)
+            return
+        entry.out = attempt
+        self._late.extend(self._ended(attempt, outcome, now))
+
+    def _cancel(self, call: str, number: int, now: float) -> None:
+        entry = self._ledger.get(call)
+        attempt = entry.out if entry else None
+        if attempt is None or attempt.number != number or attempt.revoked:
+            return  # it has ended meanwhile, as a cancel may find
+        attempt.revoked = True
+        self._counters.add("attempts.revoked")
+        # If its word has not left yet, the end is told once it has: the wait after a cancel counts from then.
+        if self._servers.cancel(attempt):
+            self._late.extend(self._ended(attempt, i.Outcome.CANCELLED, now))
+
+    def _may_leave(self, attempt: Attempt, now: float) -> bool:
+        """The last look before a set-up's bytes leave: the rules hold at that moment, not at the decision."""
+        return (
+            not attempt.ended
+            and not attempt.revoked
+            and now < attempt.deadline
+            and attempt.server not in self._off
+        )
--- /dev/null
+++ b/harepick/core/words.py
@@ -0,0 +1,130 @@
+"""What reaches the core, and what the core asks of its ports.
+
+Fronts and connections put words into the inbox; the engine turns them into the module's events. A word may
+come late or twice: the ledger takes that without harm.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from harepick import interface as i
+
+
+class Caller(Protocol):
+    """Where a call came from; takes its answers. None of these may block."""
+
+    def stands(self, description: bytes) -> None: ...
+
+    def refused(self, stay_away: float) -> None: ...
+
+    def failed(self) -> None: ...
+
+    def over(self, *, cut: bool) -> None:
+        """A standing call has ended."""
+
+
+@dataclass(slots=True)
+class Offer:
+    """A call as it came in. `request` is the front's own and goes to the servers' port as it is."""
+
+    call: str
+    class_name: str
+    destination: int
+    number: int | None
+    deadline: float
+    caller: Caller
+    request: object
+    redial: bool = False
+    again: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One send of a call to a server, from the decision until its end."""
+
+    call: str
+    number: int
+    server: str
+    placed: float
+    deadline: float
+    request: object
+    guard: Callable[[Attempt, float], bool] = field(repr=False)
+    sent: float | None = None  # when its bytes left
+    ended: bool = False
+    revoked: bool = False
+
+    def may_leave(self, now: float) -> bool:
+        """Asked right before the bytes leave: the time to connect or a full buffer may have come between."""
+        return self.guard(self, now)
+
+
+class Servers(Protocol):
+    """The port towards the setup servers. None of these may block."""
+
+    def place(self, attempt: Attempt) -> i.Outcome | None:
+        """Starts an attempt; an outcome if it is over at once."""
+
+    def cancel(self, attempt: Attempt) -> bool:
+        """Gives an attempt up; True if that is done, else an `AttemptOver` comes once it is."""
+
+    def release(self, server: str, call: str) -> None:
+        """Ends a call that stands, or stood up too late."""
+
+
+# Words from the fronts
+
+
+@dataclass(slots=True)
+class CallerGone:
+    """The caller gives its set-up up, or releases its standing call."""
+
+    call: str
+
+
+# Words from the servers' port
+
+
+@dataclass(slots=True)
+class Answered:
+    call: str
+    attempt: int
+    server: str
+    description: bytes
+    lasting: bool = True  # False: an answer that is over as soon as it is given
+
+
+@dataclass(slots=True)
+class AttemptOver:
+    attempt: Attempt
+    outcome: i.Outcome
+    cause: int = 0
+
+
+@dataclass(slots=True)
+class CallOver:
+    """A standing call was released by its server."""
+
+    call: str
+    server: str
+    cut: bool
+
+
+@dataclass(slots=True)
+class ServerDied:
+    """Every call that stood at this server before `at` is cut."""
+
+    server: str
+    at: float
+
+
+@dataclass(slots=True)
+class Told:
+    """News that go to the module as they are: server lists, free lines."""
+
+    event: i.ServerList | i.Probed
+
+
+Word = Offer | CallerGone | Answered | AttemptOver | CallOver | ServerDied | Told
--- /dev/null
+++ b/harepick/net/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's protocol: codecs without sockets, and the connections that use them."""
--- /dev/null
+++ b/harepick/settings.py
@@ -0,0 +1,237 @@
+"""Configuration: the one place where it is read, checked and given its defaults.
+
+Owns the reading of the GW_* variables, of the JSON they point to, of the settings in it (the simulator's
+`Options`, which `simhost` has read here too) and of the operator's file that sets up the ENUM front.
+Every message of a `SettingsError` names the faulty key.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from harepick import interface as i
+
+DEFAULT_SOCKETS = 1024
+DEFAULT_OPEN_CAP = 20_000
+DEFAULT_IDLE_CLOSE = 600.0
+
+
+class SettingsError(ValueError):
+    """A setting that is missing or makes no sense."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Where a party listens."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """What the platform tells a border controller at its start."""
+
+    name: str
+    listen: Address
+    bus: Address
+    known: Mapping[str, Any]
+    seed: int
+    sockets: int
+    open_cap: int
+    idle_close: float
+    settings: i.Settings
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """A DNS server that takes look-ups: a setup server to the module."""
+
+    name: str
+    address: Address
+    draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Enum:
+    """The ENUM front as an operator's file sets it up."""
+
+    listen: Address
+    suffix: str
+    call_class: str
+    deadline: float
+    edns_size: int
+    tcp_clients: int
+    tcp_idle: float
+    open_lookups: int
+    seed: int | None
+    upstreams: tuple[Upstream, ...]
+    settings: i.Settings
+
+
+def _number(table: Mapping[str, Any], path: str, low: float, default: float | None = None) -> float:
+    value: Any = table
+    for part in path.split("."):
+        value = value.get(part) if isinstance(value, Mapping) else None
+    if value is None:
+        if default is None:
+            raise SettingsError(f"setting {path} is missing")
+        return default
+    if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value < float("inf"):
+        raise SettingsError(f"setting {path} makes no sense: {value!r}")
+    return float(value)
+
+
+def _table(table: Mapping[str, Any], key: str) -> Mapping[str, Any]:
+    value = table.get(key)
+    if value is None:
+        return {}
+    if not isinstance(value, Mapping):
+        raise SettingsError(f"setting {key} makes no sense: {value!r}")
+    return value
+
+
+def _text(table: Mapping[str, Any], key: str, default: str | None = None) -> str:
+    value = table.get(key, default)
+    if value is None:
+        raise SettingsError(f"setting {key} is missing")
+    if not isinstance(value, str) or not value:
+        raise SettingsError(f"setting {key} makes no sense: {value!r}")
+    return value
+
+
+def address(text: Any, key: str) -> Address:
+    """`host:port`, the host a numeric address; the error names the key."""
+    host, _, port = str(text).rpartition(":")
+    host = host.strip("[]")
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError:
+        raise SettingsError(f"setting {key} is no address and port: {text!r}") from None
+    if not 0 <= number <= 65535:
+        raise SettingsError(f"setting {key} has no such port: {text!r}")
+    return Address(host, number)
+
+
+# The settings of the module
+
+
+def _classes(options: Mapping[str, Any]) -> tuple[i.CallClass, ...]:
+    rows = options.get("Classes")
+    if not isinstance(rows, list) or not rows:
+        raise SettingsError("setting Classes is missing")
+    pools = _table(options, "Extra").get("AllowedPools") or []
+    classes = []
+    for n, row in enumerate(rows):
+        if not isinstance(row, Mapping) or not isinstance(row.get("Name"), str):
+            raise SettingsError(f"setting Classes[{n}].Name is missing")
+        try:
+            allowed = pools[n] if n < len(pools) else None
+            classes.append(
+                i.CallClass(
+                    name=row["Name"],
+                    aim=_number(row, "Promise", 1e-6),
+                    give_up=_number(row, "GiveUp", 1e-6),
+                    worth=_number(row, "Importance", 0.0),
+                    late_share=_number(row, "LateShare", 0.0, 0.0),
+                    effect=str(row.get("Effect") or "free"),
+                    pools=None if allowed is None else tuple(int(x) for x in allowed),
+                    dedup_window=_number(row, "DedupWindow", 0.0, 0.0),
+                )
+            )
+        except SettingsError as error:
+            raise SettingsError(str(error).replace("setting ", f"setting Classes[{n}].", 1)) from None
+    return tuple(classes)
+
+
+def read_settings(options: Any) -> i.Settings:
+    """Settings in the module's own terms; raises `SettingsError` naming what is wrong."""
+    if not isinstance(options, Mapping):
+        raise SettingsError("setting Options makes no sense")
+    bounds, extra = _table(options, "Bounds"), _table(options, "Extra")
+    tenants = []
+    for row in options.get("Projects") or []:
+        allowance, share = _number(row, "AllowancePerS", 0.0, 0.0), _number(row, "Share", 0.0, 0.0)
+        tenants.append(i.Tenant(str(row.get("Name")), allowance, share))
+    return i.Settings(
+        me=int(_number(options, "Me", 0, 0)),
+        fronts=int(_number(options, "Balancers", 1)),
+        classes=_classes(options),
+        cold_share=_number(options, "Rules.ColdFrom", 0.0),
+        warm_after=_number(options, "Rules.WarmAfter", 0.0),
+        tip_multiple=_number(options, "Rules.TipMultiple", 0.0),
+        tip_after=_number(options, "Rules.TipAfter", 1e-6),
+        drain_grace=_number(options, "Rules.DrainGrace", 0.0),
+        answer_grace=_number(options, "Rules.GraceToAnswer", 0.0, 0.0),
+        release_guard=_number(options, "Extra.Guard", 0.0),
+        try_limit=int(_number(options, "Bounds.TryLimit", 1)),
+        connect_timeout=_number(options, "Bounds.DialTimeout", 0.0, 0.5),
+        resend_after=_number(options, "Extra.Repeat", 0.0, 0.0),
+        tenants=tuple(tenants),
+        over_share_worth=_number(options, "OverShareWorth", 0.0, 1.0),
+        may_cancel=bool(bounds.get("Cancelling")),
+        may_probe=bool(bounds.get("Probes")),
+        may_tell=bool(bounds.get("MayTell")),
+        may_advise=bool(bounds.get("RetryAfter")),
+        max_advice=_number(options, "Bounds.MaxRetryAfter", 0.0, 0.0),
+        marks_redials=bool(_table(options, "Callers").get("MarksRetry")),
+        own_number=-1 if extra.get("SelfNo") is None else int(extra["SelfNo"]),
+        must_ask=options.get("MembershipMode") == "ask",
+        ask_within=_number(options, "Rules.MustAskIn", 0.0, 10.0),
+        report_fields=tuple(_table(options, "Report").get("Fields") or ()),
+        zone=str(options.get("Locality") or ""),
+    )
+
+
+# The platform's variables and its JSON
+
+
+def read_platform(environ: Mapping[str, str]) -> Platform:
+    """What GW_CONFIG, GW_NAME and GW_LISTEN say; the variables go before the file."""
+    path = environ.get("GW_CONFIG")
+    if not path:
+        raise SettingsError("variable GW_CONFIG is missing")
+    try:
+        config = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise SettingsError(f"variable GW_CONFIG: {error.strerror}: {path}") from None
+    except ValueError as error:
+        raise SettingsError(f"variable GW_CONFIG: {path} is not JSON: {error}") from None
+    if not isinstance(config, Mapping):
+        raise SettingsError(f"variable GW_CONFIG: {path} holds no JSON object")
+    settings = _table(config, "settings")
+    if not settings:
+        raise SettingsError("setting settings is missing")
+    known = config.get("known")
+    if not isinstance(known, Mapping) or not isinstance(known.get("batch"), list):
+        raise SettingsError("setting known.batch is missing")
+    _number(known, "offset", 0)
+    seed = _text(config, "seed")
+    try:
+        seed_number = int(seed, 16)
+    except ValueError:
+        raise SettingsError(f"setting seed is no hexadecimal number: {seed!r}") from None
+    try:
+        module = read_settings(settings)
+        return Platform(
+            name=environ.get("GW_NAME") or _text(config, "name"),
+            listen=address(environ.get("GW_LISTEN") or _text(config, "listen"), "listen"),
+            bus=address(_text(config, "bus"), "bus"),
+            known=known,
+            seed=seed_number,
+            sockets=int(_number(config, "limits.sockets", 32, DEFAULT_SOCKETS)),
+            open_cap=int(_number(settings, "Bounds.OpenCap", 1, DEFAULT_OPEN_CAP)),
+            idle_close=_number(settings, "Bounds.IdleClose", 0.001, DEFAULT_IDLE_CLOSE),
+            settings=module,
+        )
+    except (TypeError, AttributeError) as error:
+        raise SettingsError(f"setting settings makes no sense: {error}") from None
--- a/harepick/simhost.py
+++ b/harepick/simhost.py
@@ -13,6 +13,7 @@
 
 from harepick import interface as i
 from harepick.decide import Controller
+from harepick.settings import read_settings
 
 OUTCOMES = {
     0: i.Outcome.OK,
@@ -46,99 +47,6 @@
     """A line that the wire does not allow."""
 
 
-class SettingsError(ValueError):
-    """A setting that is missing or makes no sense."""
-
-
-def _number(table: Mapping[str, Any], path: str, low: float, default: float | None = None) -> float:
-    value: Any = table
-    for part in path.split("."):
-        value = value.get(part) if isinstance(value, Mapping) else None
-    if value is None:
-        if default is None:
-            raise SettingsError(f"setting {path} is missing")
-        return default
-    if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value < float("inf"):
-        raise SettingsError(f"setting {path} makes no sense: {value!r}")
-    return float(value)
-
-
-def _table(table: Mapping[str, Any], key: str) -> Mapping[str, Any]:
-    value = table.get(key)
-    if value is None:
-        return {}
-    if not isinstance(value, Mapping):
-        raise SettingsError(f"setting {key} makes no sense: {value!r}")
-    return value
-
-
-def _classes(options: Mapping[str, Any]) -> tuple[i.CallClass, ...]:
-    rows = options.get("Classes")
-    if not isinstance(rows, list) or not rows:
-        raise SettingsError("setting Classes is missing")
-    pools = _table(options, "Extra").get("AllowedPools") or []
-    classes = []
-    for n, row in enumerate(rows):
-        if not isinstance(row, Mapping) or not isinstance(row.get("Name"), str):
-            raise SettingsError(f"setting Classes[{n}].Name is missing")
-        try:
-            allowed = pools[n] if n < len(pools) else None
-            classes.append(
-                i.CallClass(
-                    name=row["Name"],
-                    aim=_number(row, "Promise", 1e-6),
-                    give_up=_number(row, "GiveUp", 1e-6),
-                    worth=_number(row, "Importance", 0.0),
-                    late_share=_number(row, "LateShare", 0.0, 0.0),
-                    effect=str(row.get("Effect") or "free"),
-                    pools=None if allowed is None else tuple(int(x) for x in allowed),
-                    dedup_window=_number(row, "DedupWindow", 0.0, 0.0),
-                )
-            )
-        except SettingsError as error:
-            raise SettingsError(str(error).replace("setting ", f"setting Classes[{n}].", 1)) from None
-    return tuple(classes)
-
-
-def read_settings(options: Any) -> i.Settings:
-    """Settings in the module's own terms; raises `SettingsError` naming what is wrong."""
-    if not isinstance(options, Mapping):
-        raise SettingsError("setting Options makes no sense")
-    bounds, extra = _table(options, "Bounds"), _table(options, "Extra")
-    tenants = []
-    for row in options.get("Projects") or []:
-        allowance, share = _number(row, "AllowancePerS", 0.0, 0.0), _number(row, "Share", 0.0, 0.0)
-        tenants.append(i.Tenant(str(row.get("Name")), allowance, share))
-    return i.Settings(
-        me=int(_number(options, "Me", 0, 0)),
-        fronts=int(_number(options, "Balancers", 1)),
-        classes=_classes(options),
-        cold_share=_number(options, "Rules.ColdFrom", 0.0),
-        warm_after=_number(options, "Rules.WarmAfter", 0.0),
-        tip_multiple=_number(options, "Rules.TipMultiple", 0.0),
-        tip_after=_number(options, "Rules.TipAfter", 1e-6),
-        drain_grace=_number(options, "Rules.DrainGrace", 0.0),
-        answer_grace=_number(options, "Rules.GraceToAnswer", 0.0, 0.0),
-        release_guard=_number(options, "Extra.Guard", 0.0),
-        try_limit=int(_number(options, "Bounds.TryLimit", 1)),
-        connect_timeout=_number(options, "Bounds.DialTimeout", 0.0, 0.5),
-        resend_after=_number(options, "Extra.Repeat", 0.0, 0.0),
-        tenants=tuple(tenants),
-        over_share_worth=_number(options, "OverShareWorth", 0.0, 1.0),
-        may_cancel=bool(bounds.get("Cancelling")),
-        may_probe=bool(bounds.get("Probes")),
-        may_tell=bool(bounds.get("MayTell")),
-        may_advise=bool(bounds.get("RetryAfter")),
-        max_advice=_number(options, "Bounds.MaxRetryAfter", 0.0, 0.0),
-        marks_redials=bool(_table(options, "Callers").get("MarksRetry")),
-        own_number=-1 if extra.get("SelfNo") is None else int(extra["SelfNo"]),
-        must_ask=options.get("MembershipMode") == "ask",
-        ask_within=_number(options, "Rules.MustAskIn", 0.0, 10.0),
-        report_fields=tuple(_table(options, "Report").get("Fields") or ()),
-        zone=str(options.get("Locality") or ""),
-    )
-
-
 class Host:
     """The instances of one process; each has its own controller and knows nothing of the others."""
 
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,217 @@
+"""The one helper of the network tests: starts the real program, and plays its callers, servers and bus."""
+
+from __future__ import annotations
+
+import json
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from typing import Any, TypeVar
+
+from harepick.net import binary, sip
+from tests.test_wire import OPTIONS
+
+ROOT = Path(__file__).parent.parent
+Found = TypeVar("Found")
+
+
+def until(what: Callable[[], Found | None], within: float = 10.0, why: str = "a condition") -> Found:
+    """Waits for a condition; fails with its name if it does not come true in time."""
+    end = time.monotonic() + within
+    while time.monotonic() < end:
+        if (found := what()) not in (None, False):
+            return found  # type: ignore[return-value]
+        time.sleep(0.01)
+    raise AssertionError(f"waited {within} s for {why}")
+
+
+def listen() -> socket.socket:
+    return socket.create_server(("127.0.0.1", 0))
+
+
+def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Peer:
+    """One connection, read message by message with the program's own codecs."""
+
+    def __init__(self, sock: socket.socket, decoder: binary.Decoder | sip.Decoder) -> None:
+        self.sock, self.decoder, self.inbox = sock, decoder, []  # type: ignore[var-annotated]
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def next(self, want: Callable[[Any], bool] = lambda _: True, within: float = 5.0) -> Any:
+        """The next message that fits; the others are kept."""
+        end = time.monotonic() + within
+        while True:
+            for message in self.inbox:
+                if want(message):
+                    self.inbox.remove(message)
+                    return message
+            self.sock.settimeout(max(0.001, end - time.monotonic()))
+            try:
+                data = self.sock.recv(65536)
+            except TimeoutError:
+                raise AssertionError(f"nothing that fits came; kept: {self.inbox}") from None
+            if not data:
+                raise EOFError
+            self.inbox += self.decoder.feed(data)
+
+    def silent(self, span: float) -> bool:
+        """Nothing comes for so long."""
+        with suppress(AssertionError):
+            message = self.next(within=span)
+            self.inbox.insert(0, message)
+            return False
+        return True
+
+    def close(self, reset: bool = False) -> None:
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        self.sock.close()
+
+
+class Caller(Peer):
+    def __init__(self, port: int) -> None:
+        super().__init__(socket.create_connection(("127.0.0.1", port)), binary.Decoder())
+
+    def call(self, patience_ms: int = 4000, dest: int = 0, **changes: bytes) -> bytes:
+        call = secrets.token_bytes(8)
+        fields = {
+            binary.CLASS: changes.get("cls", b"a"),
+            binary.PATIENCE: str(patience_ms).encode(),
+            binary.NUMBER: changes.get("number", b"7f3a9c21e0b4d655"),
+            binary.FIGURES: b"dest:%d;width:1;via:-1" % dest,
+            binary.DESCRIPTION: b"offer\r\n",
+        }
+        self.send(binary.Message(binary.SET_UP, call, fields).encode())
+        return call
+
+    def ask(self, kind: int, call: bytes, cause: int) -> None:
+        self.send(binary.Message(kind, call, {binary.CAUSE: bytes([cause])}).encode())
+
+    def told(self, call: bytes, within: float = 5.0) -> binary.Message:
+        return self.next(lambda m: m.call == call and m.type in (binary.ANSWER, binary.RELEASE), within)  # type: ignore[no-any-return]
+
+
+class Setup:
+    """A setup server that does what the test says."""
+
+    def __init__(self) -> None:
+        self.listener = listen()
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+
+    def accept(self) -> Peer:
+        self.listener.settimeout(5.0)
+        return Peer(self.listener.accept()[0], sip.Decoder())
+
+
+def invite(peer: Peer, within: float = 5.0) -> sip.Message:
+    return peer.next(lambda m: m.method == "INVITE" and not m.status, within)  # type: ignore[no-any-return]
+
+
+def reply(peer: Peer, to: sip.Message, status: int, body: bytes = b"", note: bytes = b"") -> None:
+    head = sip.response(to, status, b"-").replace(b"Content-Length: 0", b"Content-Length: %d" % len(body))
+    if note:
+        head = head.replace(b"Content-Length", b"Warning-Word: %s\r\nContent-Length" % note)
+    peer.send(head + body)
+
+
+def row(name: str, where: str, cell: int, state: str = "SERVING", started: int = 0) -> dict[str, Any]:
+    keys = ("instanceId", "hostPort", "zone", "machineType", "cell", "lifecycle", "weight", "startedAtMs")
+    return dict(zip(keys, (name, where, "z", "std", cell, state, 1, started), strict=True))
+
+
+def event(offset: int, *rows: dict[str, Any], reset: bool = False) -> dict[str, Any]:
+    return {"offset": offset, "topology": {"generation": offset, "reset": reset, "instances": list(rows)}}
+
+
+class Program:
+    """The real program as a process."""
+
+    def __init__(self, process: subprocess.Popen[bytes], log: Path) -> None:
+        self.process, self._log = process, log
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        lines = self._log.read_bytes().split(b"\n")[:-1]
+        read = [json.loads(line) for line in lines if line.startswith(b"{")]
+        return [line for line in read if line["event"] == name]
+
+    def text(self) -> str:
+        return self._log.read_text()
+
+    def counters(self) -> dict[str, int]:
+        before = len(self.events("counters"))
+        self.process.send_signal(signal.SIGUSR1)
+        return until(lambda: self.events("counters")[before:], why="the counters")[0]
+
+    def stop(self, within: float = 6.0) -> int:
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(within)
+
+
+@contextmanager
+def program(*words: str, **environ: str) -> Iterator[Program]:
+    with tempfile.TemporaryDirectory() as folder:
+        log = Path(folder) / "log"
+        with log.open("wb") as out:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "harepick", *words],
+                cwd=ROOT,
+                env=os.environ | environ,
+                stdout=out,
+                stderr=out,
+            )
+        try:
+            running = Program(process, log)
+            until(lambda: running.events("serving") or process.poll() is not None, why="the start")
+            yield running
+        finally:
+            process.kill()
+            process.wait()
+
+
+class Platform:
+    """What the platform gives a border controller: its configuration, its bus and its servers."""
+
+    def __init__(self, servers: int = 1) -> None:
+        self.setups = [Setup() for _ in range(servers)]
+        self.bus = listen()
+        self.port = free_port()
+        self.rows = [row(f"s{n}", s.address, n) for n, s in enumerate(self.setups)]
+        options = json.loads(json.dumps(OPTIONS))
+        options["Bounds"] |= {"RetryAfter": True, "MaxRetryAfter": 2.0, "OpenCap": 1000}
+        self.config: dict[str, Any] = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "bus": "127.0.0.1:%d" % self.bus.getsockname()[1],
+            "known": {"offset": 1, "batch": [event(1, *self.rows, reset=True)]},
+            "settings": options,
+        }
+
+    @contextmanager
+    def run(self) -> Iterator[Program]:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps(self.config))
+            with program(GW_CONFIG=str(path)) as running:
+                yield running
+
+    def follower(self) -> socket.socket:
+        """The bus's end of the program's connection, once it has said what it has."""
+        self.bus.settimeout(5.0)
+        return self.bus.accept()[0]
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,28 @@
+"""The platform's front: the real program between callers and setup servers on sockets."""
+
+from __future__ import annotations
+
+from harepick.net import binary, sip
+from tests import peers
+
+
+def test_a_call_stands_and_ends() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        caller.ask(binary.TEST, b"\0" * 8, 0)
+        assert caller.next(lambda m: m.type == binary.TESTED).parameters[binary.CAUSE] == b"\x01"
+        call = caller.call(patience_ms=4000)
+        server = place.setups[0].accept()
+        asked = peers.invite(server)
+        assert asked.call == call.hex() and asked.body == b"offer\r\n"
+        assert asked.target == b"sip:7f3a9c21e0b4d655@net" and asked.text(b"priority-class") == "a"
+        assert 3000 < int(asked.text(b"expires-ms")) <= 4000
+        peers.reply(server, asked, 200, b"answer \xff")
+        assert server.next(lambda m: m.method == "ACK").call == call.hex()
+        told = caller.told(call)
+        assert told.type == binary.ANSWER and told.parameters[binary.DESCRIPTION] == b"answer \xff"
+        server.send(sip.bye(b"7f3a9c21e0b4d655", call.hex(), 7, 16))
+        assert caller.told(call).parameters[binary.CAUSE] == b"\x10"
+        assert running.counters()["calls.ok"] == 1
+        assert running.stop() == 0
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from harepick.simhost import Host, SettingsError, WireError, parse, read_settings
+from harepick.settings import SettingsError, read_settings
+from harepick.simhost import Host, WireError, parse
 
 ROOT = Path(__file__).parent.parent
 OPTIONS: dict[str, Any] = {
