Open the signal receiver before the program says that it serves

Seen: the first socket test asked for the counters right after the start, and the default handler of SIGUSR1 could end the process: __main__ opened its receiver after the log line 'serving'. A SIGTERM in that gap would have ended it too, without an exit 0. The receiver now opens first.

--- a/harepick/__main__.py
+++ b/harepick/__main__.py
@@ -6,6 +6,8 @@
 import signal
 import sys
 import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractContextManager
 
 import anyio
 
@@ -36,33 +38,39 @@
     bus = Bus(platform.bus, directory, inbox, servers, counters, log)
     listen = platform.listen
     listener = await anyio.create_tcp_listener(local_host=listen.host, local_port=listen.port)
-    async with listener, anyio.create_task_group() as tasks:
-        await tasks.start(servers.run)
-        tasks.start_soon(engine.run, known)
-        tasks.start_soon(bus.run)
-        tasks.start_soon(listener.serve, callers.serve)
-        log.event("serving", listen=str(listen), servers=len(directory.entries()), offset=directory.offset)
-        await until_stopped(counters, log)
-        grace = min(LONGEST_GRACE, max(c.give_up for c in module.classes)) + 0.7 - 2 * FLUSH
-        await finish(lambda: engine.idle, grace)
-        engine.give_up()
-        await finish(lambda: not callers.unwritten and not servers.unwritten, FLUSH, least=0.02)
-        tasks.cancel_scope.cancel()
-
-
-async def until_stopped(counters: Counters, log: Log) -> None:
+    with signals() as heard:
+        async with listener, anyio.create_task_group() as tasks:
+            await tasks.start(servers.run)
+            tasks.start_soon(engine.run, known)
+            tasks.start_soon(bus.run)
+            tasks.start_soon(listener.serve, callers.serve)
+            log.event(
+                "serving", listen=str(listen), servers=len(directory.entries()), offset=directory.offset
+            )
+            await until_stopped(heard, counters, log)
+            grace = min(LONGEST_GRACE, max(c.give_up for c in module.classes)) + 0.7 - 2 * FLUSH
+            await finish(lambda: engine.idle, grace)
+            engine.give_up()
+            await finish(lambda: not callers.unwritten and not servers.unwritten, FLUSH, least=0.02)
+            tasks.cancel_scope.cancel()
+
+
+def signals() -> AbstractContextManager[AsyncIterator[signal.Signals]]:
+    """Opened before anyone is told that the program serves: a signal must not find the default handler."""
+    return anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+
+
+async def until_stopped(heard: AsyncIterator[signal.Signals], counters: Counters, log: Log) -> None:
     """Prints the counters at every SIGUSR1; returns at SIGTERM or SIGINT."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
-        async for number in signals:
-            if number != signal.SIGUSR1:
-                log.event("stopping", signal=number)
-                return
-            log.event("counters", **counters.snapshot())
+    async for number in heard:
+        if number != signal.SIGUSR1:
+            log.event("stopping", signal=number)
+            return
+        log.event("counters", **counters.snapshot())
 
 
-async def finish(done: object, most: float, least: float = STILL_COMING) -> None:
+async def finish(done: Callable[[], bool], most: float, least: float = STILL_COMING) -> None:
     """Waits until `done`, for `least` at least and `most` at most."""
-    assert callable(done)
     start = time.time()
     while time.time() - start < most:
         if time.time() - start >= least and done():
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -27,8 +27,8 @@
     """Waits for a condition; fails with its name if it does not come true in time."""
     end = time.monotonic() + within
     while time.monotonic() < end:
-        if (found := what()) not in (None, False):
-            return found  # type: ignore[return-value]
+        if found := what():
+            return found
         time.sleep(0.01)
     raise AssertionError(f"waited {within} s for {why}")
 
@@ -111,7 +111,7 @@
 
     def __init__(self) -> None:
         self.listener = listen()
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
 
     def accept(self) -> Peer:
         self.listener.settimeout(5.0)
@@ -198,7 +198,7 @@
             "listen": f"127.0.0.1:{self.port}",
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "bus": "127.0.0.1:%d" % self.bus.getsockname()[1],
+            "bus": f"127.0.0.1:{self.bus.getsockname()[1]}",
             "known": {"offset": 1, "batch": [event(1, *self.rows, reset=True)]},
             "settings": options,
         }
