Check a silent connection by a new one: calls at a vanished server get released

Ruled out: late list events (none came) and the callers' side. At fault: Link._read waited on a half-open connection without end.

Link._watch: a connection with calls on it that brings nothing for 2 s is checked by one new connection. If that does not come up, the server has vanished: its connection is given up, its set-ups are reset, its calls cut. If it comes up, both are read.

Tests: a server that goes away without a word, and a silent one that still takes connections.

--- a/harepick/net/servers.py
+++ b/harepick/net/servers.py
@@ -37,6 +37,8 @@
 SEND_TIMEOUT = 2.0  # a server that takes nothing for so long has its connection closed
 DIALOGS = 16_384  # numbers called kept for the releases to come
 UNSENT = 1_024  # releases kept for the next connection
+SILENCE = 2.0  # with calls on it, a connection that brings nothing for so long may lead nowhere any more
+LOOK = 0.25  # how often that is looked at
 
 
 @dataclass(slots=True)
@@ -134,7 +136,10 @@
         self._dialogs: OrderedDict[str, tuple[bytes, int]] = OrderedDict()  # call -> number called, CSeq
         self._unsent: list[Bye] = []
         self._connected = 0.0
+        self._heard = 0.0  # when anything last came from the server
+        self._second: SocketStream | None = None
         self._connection: anyio.CancelScope | None = None
+        self._vanished = False
         self.retired = False
         self.scope = anyio.CancelScope()
 
@@ -177,7 +182,7 @@
             self._count("servers.unreached")
             self._port.log.event("unreached", server=self._server, error=type(error).__name__)
             return None
-        self._connected = time.time()
+        self._connected = self._heard = time.time()
         self._count("servers.connections")
         for bye in self._unsent:
             self.outbox.put(bye)
@@ -195,12 +200,14 @@
 
     async def _serve(self, stream: SocketStream) -> None:
         """One connection to its end; what was open on it is given up with it."""
-        died = False
+        died = self._vanished = False
         with anyio.CancelScope() as self._connection:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._write, stream, tasks.cancel_scope)
+                tasks.start_soon(self._watch, tasks)
                 died = await self._read(stream)
                 tasks.cancel_scope.cancel()
+        died = died or self._vanished
         self._connection = None
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(stream)
@@ -208,11 +215,43 @@
         self._count("servers.died" if died else "servers.closed")
         self._port.log.event("closed", server=self._server, died=died, open=len(self.open))
         given_up, self.open = self.open, {}
+        for call in list(self._dialogs if died else given_up):
+            self._dialogs.pop(call, None)
         for attempt in given_up.values():
             await self._word(AttemptOver(attempt, i.Outcome.RESET))
         if died:  # when a process dies, its connections are reset and its calls are cut
             await self._word(ServerDied(self._server, now))
 
+    async def _watch(self, tasks: TaskGroup) -> None:
+        """Guards against a half-open connection: a machine that has vanished says nothing, resets nothing
+        and takes no new connection. Its calls are over, and their callers must be told within 8 s.
+
+        A silent server is connected to once more. If that fails, the old connection is given up; if it
+        comes up, the server lives, and what it has to say may come on either."""
+        while True:
+            await anyio.sleep(LOOK)
+            if not self._dialogs or time.time() - self._heard < SILENCE or self._second:
+                continue
+            try:
+                with anyio.fail_after(self._port.connect_timeout):
+                    stream = await anyio.connect_tcp(self._address.host, self._address.port)
+            except (OSError, TimeoutError):
+                self._count("servers.vanished")
+                self._vanished = True
+                self._drop()
+                return
+            self._count("servers.second_connections")
+            self._heard = time.time()
+            tasks.start_soon(self._read_second, stream)
+
+    async def _read_second(self, stream: SocketStream) -> None:
+        self._second = stream
+        try:
+            async with stream:
+                await self._read(stream)
+        finally:
+            self._second = None
+
     async def _read(self, stream: SocketStream) -> bool:
         """Until the connection ends; True if it was reset."""
         decoder = sip.Decoder()
@@ -232,6 +271,7 @@
                 self._count("servers.malformed")
                 self._port.log.event("malformed", server=self._server, error=str(error))
                 return False
+            self._heard = time.time()
             for message in messages:
                 await self._take(message)
 
@@ -273,6 +313,7 @@
             await self._word(Answered(call, sequence - 1, self._server, message.body))
         elif attempt is not None:
             self._count(f"servers.status_{message.status}")
+            self._dialogs.pop(call, None)
             outcome = OUTCOMES.get(message.status, i.Outcome.ERROR)
             cause = NOTES.get(message.text(b"warning-word"), 0)
             await self._word(AttemptOver(attempt, outcome, cause))
@@ -315,6 +356,7 @@
                 await self._word(AttemptOver(attempt, i.Outcome.CANCELLED))
                 return None
             del self.open[attempt.call]
+            self._dialogs.pop(attempt.call, None)
             self._count("servers.sent_cancel")
             # Named by the attempt, not by the dialog: a release may have dropped that one meanwhile.
             number = _request(attempt).number
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -26,3 +26,37 @@
         assert caller.told(call).parameters[binary.CAUSE] == b"\x10"
         assert running.counters()["calls.ok"] == 1
         assert running.stop() == 0
+
+
+def stand(
+    place: peers.Platform, caller: peers.Caller, server: peers.Peer | None = None
+) -> tuple[bytes, peers.Peer]:
+    """A call that stands, and the server's end of its connection."""
+    call = caller.call()
+    server = server or place.setups[0].accept()
+    peers.reply(server, peers.invite(server), 200, b"answer")
+    assert caller.told(call).type == binary.ANSWER
+    return call, server
+
+
+def test_a_vanished_server_has_its_calls_released_though_nothing_says_so() -> None:
+    """No reset comes and no news of the list; the connection stays open, and no new one comes up."""
+    place = peers.Platform()
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        call, _server = stand(place, caller)
+        place.setups[0].listener.close()
+        assert caller.told(call, within=8.0).parameters[binary.CAUSE] == bytes([41])
+        assert running.counters()["servers.vanished"] == 1
+
+
+def test_a_silent_server_that_takes_connections_keeps_its_calls() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        call, _server = stand(place, caller)
+        second = place.setups[0].accept()
+        assert caller.silent(1.0)
+        second.send(sip.bye(b"1", call.hex(), 7, 16))  # what it has to say may come on the new one
+        assert caller.told(call).parameters[binary.CAUSE] == bytes([16])
+        assert "servers.vanished" not in running.counters()
