--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -168,7 +168,7 @@
     def _answered(self, word: Answered, now: float) -> list[i.Event]:
         entry = self._ledger.get(word.call)
         attempt = entry.out if entry else None
-        if entry and entry.standing_at == word.server and entry.standing_attempt == word.attempt:
+        if entry and entry.standing_at == word.server:
             self._counters.add("core.late_words")  # the same answer again
             return []
         if (
--- a/harepick/core/words.py
+++ b/harepick/core/words.py
@@ -90,7 +90,7 @@
 @dataclass(slots=True)
 class Answered:
     call: str
-    attempt: int
+    attempt: int  # -1: of none that is open
     server: str
     description: bytes
     lasting: bool = True  # False: an answer that is over as soon as it is given
--- a/harepick/net/servers.py
+++ b/harepick/net/servers.py
@@ -31,8 +31,8 @@
     500: i.Outcome.ERROR,
     480: i.Outcome.MOOT,
     504: i.Outcome.RESET,
-    487: i.Outcome.CANCELLED,
 }
+CSEQ = 1  # of every INVITE; a release has the next
 CUT = 41  # cause of a release for a call that was cut; 16 is its common end
 SEND_TIMEOUT = 2.0  # a server that takes nothing for so long has its connection closed
 DIALOGS = 16_384  # numbers called kept for the releases to come
@@ -133,7 +133,7 @@
         self._address = where
         self.outbox: Outbox[Item] = Outbox()
         self.open: dict[str, Attempt] = {}
-        self._dialogs: OrderedDict[str, tuple[bytes, int]] = OrderedDict()  # call -> number called, CSeq
+        self._dialogs: OrderedDict[str, bytes] = OrderedDict()  # call -> number called
         self._unsent: list[Bye] = []
         self._connected = 0.0
         self._heard = 0.0  # when anything last came from the server
@@ -299,18 +299,21 @@
                 self._say(sip.response(message, 501, b"Not Implemented"))
 
     async def _answer(self, message: sip.Message) -> None:
-        """A final answer to an INVITE: every one is acknowledged, also one that comes too late."""
-        call, sequence = message.call, message.number
-        number, _ = self._dialogs.get(call, (call.encode("latin-1"), sequence))
-        self._say(sip.request("ACK", number, call, sequence))
-        attempt = self.open.get(call)
-        if attempt is not None and attempt.number + 1 == sequence:
-            del self.open[call]
-        else:
-            attempt = None
+        """A final answer to an INVITE: every one is acknowledged, also one that comes too late.
+
+        Matched by Call-ID and method alone: servers answer `CSeq: 1 INVITE` whatever was asked, so that the
+        number tells nothing of the attempt. What was cancelled is no longer open; its 487 ends nothing."""
+        call = message.call
+        number = self._dialogs.get(call, call.encode("latin-1"))
+        self._say(sip.request("ACK", number, call, CSEQ))
+        if message.status == 487:
+            self._count("servers.cancels_heard")
+            return
+        attempt = self.open.pop(call, None)
         if message.status < 300:
             self._count("servers.answers")
-            await self._word(Answered(call, sequence - 1, self._server, message.body))
+            tried = -1 if attempt is None else attempt.number
+            await self._word(Answered(call, tried, self._server, message.body))
         elif attempt is not None:
             self._count(f"servers.status_{message.status}")
             self._dialogs.pop(call, None)
@@ -347,8 +350,8 @@
             return item
         if isinstance(item, Bye):
             self._count("servers.sent_bye")
-            number, sequence = self._dialogs.pop(item.call, (item.call.encode(), 1))
-            return sip.bye(number, item.call, sequence + 1, 16)
+            number = self._dialogs.pop(item.call, item.call.encode())
+            return sip.bye(number, item.call, CSEQ + 1, 16)
         now = time.time()
         if isinstance(item, Cancel):
             attempt = item.attempt
@@ -360,7 +363,7 @@
             self._count("servers.sent_cancel")
             # Named by the attempt, not by the dialog: a release may have dropped that one meanwhile.
             number = _request(attempt).number
-            return sip.request("CANCEL", number, attempt.call, attempt.number + 1)
+            return sip.request("CANCEL", number, attempt.call, CSEQ)
         if not item.may_leave(now):
             if not item.ended:
                 await self._word(AttemptOver(item, i.Outcome.MOOT))
@@ -368,15 +371,13 @@
         request = _request(item)
         item.sent = now
         self.open[item.call] = item
-        self._dialogs[item.call] = (request.number, item.number + 1)
+        self._dialogs[item.call] = request.number
         self._dialogs.move_to_end(item.call)
         if len(self._dialogs) > DIALOGS:
             self._dialogs.popitem(last=False)
         self._count("servers.sent_invite")
         left = max(1, round((item.deadline - now) * 1000))
-        return sip.invite(
-            request.number, item.call, item.number + 1, request.class_name, left, request.description
-        )
+        return sip.invite(request.number, item.call, CSEQ, request.class_name, left, request.description)
 
     async def _word(self, word: Word) -> None:
         await self._port.inbox.put(word)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -124,6 +124,7 @@
 
 def reply(peer: Peer, to: sip.Message, status: int, body: bytes = b"", note: bytes = b"") -> None:
     head = sip.response(to, status, b"-").replace(b"Content-Length: 0", b"Content-Length: %d" % len(body))
+    head = head.replace(b"CSeq: 2 INVITE", b"CSeq: 1 INVITE")  # the platform's servers know no other
     if note:
         head = head.replace(b"Content-Length", b"Warning-Word: %s\r\nContent-Length" % note)
     peer.send(head + body)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -60,3 +60,20 @@
         second.send(sip.bye(b"1", call.hex(), 7, 16))  # what it has to say may come on the new one
         assert caller.told(call).parameters[binary.CAUSE] == bytes([16])
         assert "servers.vanished" not in running.counters()
+
+
+def test_the_second_attempt_of_a_call_is_answered_too() -> None:
+    """Servers answer every attempt with CSeq 1: read as the number of the attempt, it lost each second one."""
+    place = peers.Platform(servers=2)
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        call = caller.call(dest=0)
+        first = place.setups[0].accept()
+        peers.reply(first, peers.invite(first), 503, note=b"processor_full")
+        second = place.setups[1].accept()
+        again = peers.invite(second)
+        assert again.call == call.hex() and again.body == b"offer\r\n"
+        peers.reply(second, again, 200, b"answer")
+        assert caller.told(call).type == binary.ANSWER
+        assert running.counters()["attempts.full"] == 1
+        assert "answers.too_late" not in running.counters()
