Test the platform's front on sockets: crossings, resets, drains, stops, bad input

24 tests start the real program and speak to it as callers, servers and bus do: CANCEL crossing an answer, standing calls outliving their connections, resets and closes, a reused address, drains, malformed input, SIGTERM, bad configuration. Codecs are tested without sockets, derandomized.

--- /dev/null
+++ b/tests/test_codecs.py
@@ -0,0 +1,65 @@
+"""The codecs without sockets: whatever way the bytes are cut, and bounded whatever comes."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from harepick.net import binary, sip
+
+MESSAGES = st.builds(
+    binary.Message,
+    st.integers(0, 255),
+    st.binary(min_size=8, max_size=8),
+    st.dictionaries(st.integers(0, 255), st.binary(max_size=200), max_size=4),
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(MESSAGES, max_size=4), st.integers(1, 40))
+def test_binary_messages_come_back_however_they_are_cut(messages: list[binary.Message], step: int) -> None:
+    data = b"".join(message.encode() for message in messages)
+    decoder = binary.Decoder()
+    pieces = [data[at : at + step] for at in range(0, len(data), step)]
+    assert [message for piece in pieces for message in decoder.feed(piece)] == messages
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.binary(max_size=300), max_size=4), st.integers(1, 60))
+def test_sip_messages_come_back_however_they_are_cut(bodies: list[bytes], step: int) -> None:
+    data = b"\r\n".join(sip.invite(b"77", f"{n:016x}", 1, b"a", 900, b) for n, b in enumerate(bodies))
+    decoder = sip.Decoder()
+    found = [m for at in range(0, len(data), step) for m in decoder.feed(data[at : at + step])]
+    assert [(m.call, m.method, m.body) for m in found] == [
+        (f"{n:016x}", "INVITE", body) for n, body in enumerate(bodies)
+    ]
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=400))
+def test_noise_raises_the_codecs_own_error_or_nothing(data: bytes) -> None:
+    for decoder, error in ((binary.Decoder(), binary.BinaryError), (sip.Decoder(), sip.SipError)):
+        with suppress(error):
+            decoder.feed(data)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"INVITE sip:1@net SIP/2.0\r\nX: " + b"y" * 17_000,
+        b"INVITE sip:1@net SIP/2.0\r\nContent-Length: 16384\r\n\r\n",
+        b"INVITE sip:1@net SIP/2.0\r\n\r\n",
+        b"SIP/2.0 999 No\r\nContent-Length: 0\r\n\r\n",
+    ],
+)
+def test_sip_is_bounded_and_strict(data: bytes) -> None:
+    with pytest.raises(sip.SipError):
+        sip.Decoder().feed(data)
+
+
+def test_the_state_of_a_group_is_read_and_noise_in_it_left_out() -> None:
+    head = b"NOTIFY sip:exchange@net SIP/2.0\r\nP-Load: free:27;size:278;odd:x;\r\nContent-Length: 0\r\n\r\n"
+    assert sip.load(sip.Decoder().feed(head)[0]) == {"free": 27.0, "size": 278.0}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,15 @@
 
 from __future__ import annotations
 
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
 from harepick.net import binary, sip
 from tests import peers
 
@@ -63,7 +72,7 @@
 
 
 def test_the_second_attempt_of_a_call_is_answered_too() -> None:
-    """Servers answer every attempt with CSeq 1: read as the number of the attempt, it lost each second one."""
+    """Servers answer all with CSeq 1: read as the number of the attempt, it lost each second one."""
     place = peers.Platform(servers=2)
     with place.run() as running:
         caller = peers.Caller(place.port)
@@ -77,3 +86,151 @@
         assert caller.told(call).type == binary.ANSWER
         assert running.counters()["attempts.full"] == 1
         assert "answers.too_late" not in running.counters()
+
+
+def test_a_cancel_that_crosses_an_answer_has_the_call_released() -> None:
+    place = peers.Platform()
+    with place.run():
+        caller = peers.Caller(place.port)
+        call = caller.call()
+        server = place.setups[0].accept()
+        asked = peers.invite(server)
+        caller.ask(binary.RELEASE, call, 16)
+        assert server.next(lambda m: m.method == "CANCEL").call == call.hex()
+        peers.reply(server, asked, 200, b"answer")
+        assert server.next(lambda m: m.method == "ACK").call == call.hex()
+        assert server.next(lambda m: m.method == "BYE").call == call.hex()
+        with pytest.raises(AssertionError):
+            caller.told(call, within=0.3)  # given up: no answer is owed, and none may come
+
+
+def test_a_standing_call_outlives_its_connections() -> None:
+    place = peers.Platform()
+    with place.run():
+        caller = peers.Caller(place.port)
+        ended, server = stand(place, caller)
+        released, _ = stand(place, caller, server)
+        caller.close()
+        other = peers.Caller(place.port)
+        other.ask(binary.RELEASE, released, 16)
+        assert server.next(lambda m: m.method == "BYE").call == released.hex()
+        server.send(sip.bye(b"1", ended.hex(), 7, 16))
+        assert other.told(ended, within=1.0).parameters[binary.CAUSE] == bytes([16])
+
+
+def test_a_reset_cuts_the_calls_and_a_close_gives_up_the_set_ups() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        call, server = stand(place, caller)
+        waiting = caller.call(patience_ms=1500)
+        peers.invite(server)
+        server.close(reset=True)
+        assert caller.told(call, within=1.0).parameters[binary.CAUSE] == bytes([41])
+        begun = time.time()
+        anew = place.setups[0].accept()
+        again = peers.invite(anew)  # after the wait the call may be sent once more
+        assert again.call == waiting.hex() and time.time() - begun > 0.15
+        assert caller.told(waiting).type == binary.RELEASE
+        assert running.counters()["attempts.reset"] == 1
+
+
+def test_news_of_the_bus_are_followed_and_a_reused_address_is_another_server() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        bus = place.follower()
+        assert bus.recv(100) == b"from 1\n"
+        caller = peers.Caller(place.port)
+        call, _server = stand(place, caller)
+        address = place.setups[0].address
+        gone = peers.row("s0", address, 0, "DELETED")
+        new = peers.row("s9", address, 0)
+        news = [b'{"offset":1}', b"1", json.dumps(peers.event(2, gone, new)).encode()]
+        bus.sendall(b"\n".join(news) + b"\n")
+        assert caller.told(call, within=1.0).parameters[binary.CAUSE] == bytes([41])
+        second, _ = stand(place, caller)  # on a connection of its own
+        assert second != call
+        bus.close()
+        bus = place.follower()
+        assert bus.recv(100) == b"from 2\n"
+        bus.sendall(json.dumps(peers.event(3, peers.row("s9", address, 0, "DRAINING"))).encode() + b"\n")
+        peers.until(lambda: len(running.events("list")) == 2, why="the drain")
+        time.sleep(0.25)
+        refused = caller.told(caller.call())
+        assert refused.parameters[binary.CAUSE] == bytes([42])
+        assert 0 < int(refused.parameters[binary.STAY_AWAY]) <= 2000
+
+
+def test_malformed_input_costs_its_connection_or_message_alone() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        for bad in (caller.call(cls=b"unheard"), caller.call(number=b"a b\r\nX: y")):
+            assert caller.told(bad).type == binary.RELEASE
+        caller.ask(99, b"\0" * 8, 0)
+        assert caller.told(b"\0" * 8).parameters[binary.CAUSE] == bytes([97])
+        for noise in (b"\0\0", b"\xff\xff\1", b"\0\x0c\1" + b"\0" * 8 + b"\3\0\xff"):
+            broken = peers.Caller(place.port)
+            broken.send(noise)
+            with pytest.raises((EOFError, ConnectionResetError)):
+                broken.next()
+        call, server = stand(place, caller)
+        server.send(b"SIP/2.0 nonsense\r\nContent-Length: 0\r\n\r\n")
+        with pytest.raises(EOFError):
+            server.next(lambda m: m.method == "NONE")
+        counters = running.counters()
+        assert (counters["callers.malformed"], counters["servers.malformed"]) == (3, 1)
+        assert (counters["callers.bad_set_ups"], counters["callers.unknown"]) == (2, 1)
+        assert stand(place, caller)[0] != call
+
+
+def test_sigterm_serves_what_crosses_answers_all_and_exits_with_0() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        call, server = stand(place, caller)
+        running.process.terminate()
+        peers.until(lambda: running.events("stopping"), why="the stop")
+        late = peers.Caller(place.port)
+        crossing = late.call(patience_ms=2000)
+        peers.reply(server, peers.invite(server), 200, b"answer")
+        assert late.told(crossing).type == binary.ANSWER
+        unanswered = late.call(patience_ms=9000)
+        assert late.told(unanswered).type == binary.RELEASE
+        assert late.told(crossing).type == binary.RELEASE  # what still stands is released at the end
+        assert caller.told(call).type == binary.RELEASE
+        assert running.process.wait(3) == 0
+        assert running.events("counters")[-1]["answers.stands"] == 2
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "said"),
+    [
+        ("listen", "nowhere", "listen"),
+        ("seed", "xyz", "seed"),
+        ("known", {}, "known.batch"),
+        ("settings", {"Balancers": 1, "Classes": []}, "Classes"),
+        ("limits", {"sockets": -1}, "limits.sockets"),
+        ("bus", None, "bus"),
+    ],
+)
+def test_bad_configuration_is_one_line_that_names_the_key(key: str, value: object, said: str) -> None:
+    place = peers.Platform()
+    place.config[key] = value
+    with place.run() as running:
+        assert running.process.wait(5) == 2
+        assert said in running.text() and running.text().count("\n") == 1
+
+
+def test_an_address_in_use_is_told_in_one_line() -> None:
+    place = peers.Platform()
+    with socket.create_server(("127.0.0.1", place.port)), place.run() as running:
+        assert running.process.wait(5) == 1
+        assert len(running.events("crashed")) == 1
+
+
+def test_without_configuration_the_program_says_what_is_missing() -> None:
+    environ = {k: v for k, v in os.environ.items() if k != "GW_CONFIG"}
+    words = [sys.executable, "-m", "harepick"]
+    done = subprocess.run(words, env=environ, cwd=peers.ROOT, capture_output=True, text=True)
+    assert done.returncode == 2 and "GW_CONFIG" in done.stderr
