Close the connection of a server that has gone, and end its link at the next news

Seen in reading: Servers.listed ended a link only if it was idle at the very event that named its server gone, and a link ended that way skipped the closing of its stream in Link._serve, so that a descriptor waited for the collector. Links of gone servers are now looked over at every list event, the stream is closed in a finally, and releases kept after a failed write are bounded like the others. Test: the connection to a server that has gone ends, while a new server at its address gets its own.

--- a/harepick/net/servers.py
+++ b/harepick/net/servers.py
@@ -108,9 +108,10 @@
         for row in event.entries:
             if link := self._links.get(row.server):
                 link.listed(row, self.directory)
-                if link.retired and link.idle:
-                    link.scope.cancel()
-                    del self._links[row.server]
+        for server, link in list(self._links.items()):  # also those that were busy when their server went
+            if link.retired and link.idle:
+                link.scope.cancel()
+                del self._links[server]
 
     def _link(self, server: str) -> Link | None:
         if link := self._links.get(server):
@@ -201,16 +202,18 @@
     async def _serve(self, stream: SocketStream) -> None:
         """One connection to its end; what was open on it is given up with it."""
         died = self._vanished = False
-        with anyio.CancelScope() as self._connection:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._write, stream, tasks.cancel_scope)
-                tasks.start_soon(self._watch, tasks)
-                died = await self._read(stream)
-                tasks.cancel_scope.cancel()
+        try:
+            with anyio.CancelScope() as self._connection:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._write, stream, tasks.cancel_scope)
+                    tasks.start_soon(self._watch, tasks)
+                    died = await self._read(stream)
+                    tasks.cancel_scope.cancel()
+        finally:  # also when the link itself is ended: a descriptor must not wait for the collector
+            self._connection = None
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
         died = died or self._vanished
-        self._connection = None
-        with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(stream)
         now = time.time()
         self._count("servers.died" if died else "servers.closed")
         self._port.log.event("closed", server=self._server, died=died, open=len(self.open))
@@ -337,7 +340,8 @@
                 with anyio.fail_after(SEND_TIMEOUT):
                     await stream.send(b"".join(data for _, data in parts))
             except (TimeoutError, anyio.BrokenResourceError, anyio.ClosedResourceError):
-                self._unsent += [item for item, _ in parts if isinstance(item, Bye)]
+                byes = [item for item, _ in parts if isinstance(item, Bye)]
+                self._unsent += byes[: max(0, UNSENT - len(self._unsent))]
                 scope.cancel()
                 return
             for item, _ in parts:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -141,13 +141,15 @@
         bus = place.follower()
         assert bus.recv(100) == b"from 1\n"
         caller = peers.Caller(place.port)
-        call, _server = stand(place, caller)
+        call, old = stand(place, caller)
         address = place.setups[0].address
         gone = peers.row("s0", address, 0, "DELETED")
         new = peers.row("s9", address, 0)
         news = [b'{"offset":1}', b"1", json.dumps(peers.event(2, gone, new)).encode()]
         bus.sendall(b"\n".join(news) + b"\n")
         assert caller.told(call, within=1.0).parameters[binary.CAUSE] == bytes([41])
+        with pytest.raises(EOFError):  # nothing is left for the server that has gone
+            old.next(lambda _: False)
         second, _ = stand(place, caller)  # on a connection of its own
         assert second != call
         bus.close()
