--- a/harepick/__main__.py
+++ b/harepick/__main__.py
@@ -1,6 +1,7 @@
 """Start and stop of the program: reads the configuration, runs the fronts, follows the signals.
 
-SIGTERM and SIGINT stop it, SIGUSR1 prints the counters, SIGHUP has the operator's file read again.
+SIGTERM and SIGINT stop it, SIGUSR1 prints the counters, SIGHUP has the configuration and the operator's
+file read again.
 """
 
 from __future__ import annotations
@@ -64,7 +65,7 @@
         platform = read_platform(os.environ)
     log = Log(platform.name if platform else "")
     if platform:
-        fronts.append(PlatformFront(platform, counters, log))
+        fronts.append(PlatformFront(platform, os.environ, counters, log))
     if wanted.operator:
         from harepick.enumdns.service import EnumFront  # off on the platform: not even loaded there
 
--- a/harepick/core/inbox.py
+++ b/harepick/core/inbox.py
@@ -22,6 +22,10 @@
     async def put(self, word: Word) -> None:
         while len(self._words) >= self._room:
             await self._taken.wait()
+        self.tell(word)
+
+    def tell(self, word: Word) -> None:
+        """At once, also over the bound: for the few words that a cancelled wait must not lose."""
         self._words.append(word)
         self._some.set()
 
--- a/harepick/directory.py
+++ b/harepick/directory.py
@@ -43,7 +43,10 @@
         """The events of the start, as one list."""
         for event in known["batch"]:
             self.apply(event)
-        self.offset = max(self.offset, int(known["offset"]))
+        try:
+            self.offset = max(self.offset, int(known["offset"]))
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
+            raise DirectoryError(f"offset: {type(error).__name__}: {error}") from None
         return i.ServerList(i.ListKind.REMEMBERED, self.entries())
 
     def apply(self, event: Any) -> i.ServerList | None:
@@ -53,7 +56,7 @@
             topology = event["topology"]
             rows = [_row(item) for item in topology["instances"]]
             reset = bool(topology.get("reset"))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
             raise DirectoryError(f"{type(error).__name__}: {error}") from None
         if offset <= self.offset:
             return None
--- a/harepick/net/service.py
+++ b/harepick/net/service.py
@@ -2,19 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from dataclasses import fields
+
 import anyio
 from anyio.abc import TaskStatus
 
 from harepick.core.engine import Engine
 from harepick.core.inbox import Inbox
 from harepick.counters import Counters
-from harepick.directory import Directory
+from harepick.directory import Directory, DirectoryError
 from harepick.lifecycle import finish
 from harepick.log import Log
 from harepick.net.bus import Bus
 from harepick.net.callers import Callers
 from harepick.net.servers import Servers
-from harepick.settings import Platform
+from harepick.settings import Platform, SettingsError, read_platform
 
 STILL_COMING = 0.8  # after SIGTERM, connections and set-ups still come for so long
 LONGEST_GRACE = 3.0  # SIGKILL comes this, or the longest deadline if shorter, and 0.7 s after SIGTERM
@@ -22,28 +25,52 @@
 
 
 class PlatformFront:
-    def __init__(self, config: Platform, counters: Counters, log: Log) -> None:
-        self._config, self._counters, self._log = config, counters, log
+    def __init__(self, config: Platform, environ: Mapping[str, str], counters: Counters, log: Log) -> None:
+        self._config, self._environ, self._counters, self._log = config, environ, counters, log
+        self._directory = Directory()
+        self._bus: Bus | None = None
+        try:
+            self._known = self._directory.load(config.known)
+        except DirectoryError as error:
+            raise SettingsError(f"setting known.batch makes no sense: {error}") from None
 
     def reload(self) -> None:
-        """The platform sets everything at the start."""
+        """Reads the configuration again: a new bus is followed at once, all else waits for a restart.
+
+        A faulty file changes nothing: it may be half written, or meant for another program."""
+        try:
+            config = read_platform(self._environ)
+        except SettingsError as error:
+            self._counters.add("reload.bad_files")
+            self._log.event("reload_failed", error=str(error))
+            return
+        if self._bus and config.bus != self._bus.address:
+            self._bus.move(config.bus)
+        start = self._config  # `known` and `seed` are of a start, and new with each
+        waiting = [
+            key.name
+            for key in fields(Platform)
+            if key.name not in ("bus", "known", "seed")
+            and getattr(config, key.name) != getattr(start, key.name)
+        ]
+        self._counters.add("reload.files")
+        self._log.event("reloaded", bus=str(config.bus), waiting_for_restart=waiting)
 
     async def run(
         self, stop: anyio.Event, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         config, counters, log = self._config, self._counters, self._log
         module = config.settings
-        inbox, directory = Inbox(), Directory()
-        known = directory.load(config.known)
+        inbox, directory = Inbox(), self._directory
         servers = Servers(directory, inbox, counters, log, module.connect_timeout, config.idle_close)
         engine = Engine(module, config.seed, servers, inbox, counters, log, config.open_cap)
         callers = Callers(module.classes, inbox, counters, log, most=config.sockets // 2)
-        bus = Bus(config.bus, directory, inbox, servers, counters, log)
+        bus = self._bus = Bus(config.bus, directory, inbox, servers, counters, log)
         where = config.listen
         listener = await anyio.create_tcp_listener(local_host=where.host, local_port=where.port)
         async with listener, anyio.create_task_group() as tasks:
             await tasks.start(servers.run)
-            tasks.start_soon(engine.run, known)
+            tasks.start_soon(engine.run, self._known)
             tasks.start_soon(bus.run)
             tasks.start_soon(listener.serve, callers.serve)
             log.event("listening", front="platform", listen=str(where), offset=directory.offset)
--- a/harepick/settings.py
+++ b/harepick/settings.py
@@ -206,7 +206,7 @@
         config = json.loads(Path(path).read_bytes())
     except OSError as error:
         raise SettingsError(f"variable GW_CONFIG: {error.strerror}: {path}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsError(f"variable GW_CONFIG: {path} is not JSON: {error}") from None
     if not isinstance(config, Mapping):
         raise SettingsError(f"variable GW_CONFIG: {path} holds no JSON object")
@@ -235,7 +235,9 @@
             idle_close=_number(settings, "Bounds.IdleClose", 0.001, DEFAULT_IDLE_CLOSE),
             settings=module,
         )
-    except (TypeError, AttributeError) as error:
+    except SettingsError:
+        raise
+    except (TypeError, AttributeError, ValueError, OverflowError, KeyError) as error:
         raise SettingsError(f"setting settings makes no sense: {error}") from None
 
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -207,9 +207,9 @@
     @contextmanager
     def run(self) -> Iterator[Program]:
         with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / "config.json"
-            path.write_text(json.dumps(self.config))
-            with program(GW_CONFIG=str(path)) as running:
+            self.path = Path(folder) / "config.json"
+            self.path.write_text(json.dumps(self.config))
+            with program(GW_CONFIG=str(self.path)) as running:
                 yield running
 
     def follower(self) -> socket.socket:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -236,3 +237,49 @@
     words = [sys.executable, "-m", "harepick"]
     done = subprocess.run(words, env=environ, cwd=peers.ROOT, capture_output=True, text=True)
     assert done.returncode == 2 and "GW_CONFIG" in done.stderr
+
+
+def test_sighup_follows_a_new_bus_from_the_last_event_and_a_faulty_file_changes_nothing() -> None:
+    """The old bus stays open and tells nothing more: what the new one has must be heard at once."""
+    place = peers.Platform()
+    with place.run() as running:
+        old = place.follower()
+        assert old.recv(100) == b"from 1\n"
+        place.path.write_text(json.dumps(place.config)[:-40])  # half written
+        running.process.send_signal(signal.SIGHUP)
+        peers.until(lambda: running.events("reload_failed"), why="the faulty file")
+        with peers.listen() as bus:
+            bus.settimeout(5.0)
+            place.config["bus"] = f"127.0.0.1:{bus.getsockname()[1]}"
+            place.config["limits"] = {"sockets": 512}
+            place.path.write_text(json.dumps(place.config))
+            running.process.send_signal(signal.SIGHUP)
+            follower = bus.accept()[0]
+            assert follower.recv(100) == b"from 1\n"
+            assert running.events("reloaded")[0]["waiting_for_restart"] == ["sockets"]
+            drain = peers.event(2, peers.row("s0", place.setups[0].address, 0, "DRAINING"))
+            follower.sendall(json.dumps(drain).encode() + b"\n")
+            peers.until(lambda: running.events("list"), why="the drain")
+            assert old.recv(100) == b""  # and the old bus is left
+        assert running.stop() == 0
+
+
+def test_a_bus_that_stops_or_breaks_is_asked_again_before_its_news_count_as_told() -> None:
+    """They count 4 s after a stop and 2 s after a break, also when a first try finds nobody there."""
+    place = peers.Platform()
+    with place.run():
+        silent = place.follower()
+        begun = time.time()
+        broken = place.follower()  # the first has said nothing for a while
+        assert time.time() - begun < 3.0
+        assert broken.recv(100) == b"from 1\n"
+        address = place.bus.getsockname()
+        place.bus.close()
+        broken.sendall(b'{"offset":2,"topo')  # it breaks off in the middle of an event
+        broken.close()
+        time.sleep(1.6)  # long enough for growing pauses to become too long
+        with socket.create_server(address) as place.bus:
+            begun = time.time()
+            assert place.follower().recv(100) == b"from 1\n"
+            assert time.time() - begun < 0.7
+        silent.close()
