Refuse unfit set-ups at the door, give ids an owner and connections a time limit

A probe that logged what was open when a server closed showed a set-up with an id of zeros as the newest on every one of 65 connections that servers closed on what they could not read; each took the other set-ups along, came again 0.15 s later and closed the next one. Signs, `width:400`, `dest:-3`, `x` and patience past the class's own went on as well.

At fault, net/callers.py: `float(int(...))` (OverflowError left the task and ended the program), no look at the id, `connection.open` without owners (the close of one connection gave up another's call), no time limit, the newest turned away at the cap; core/engine.py `_offered` dropped a clash without a word; `listener.serve` let an error of accept out. Ruled out: the SIP writer (lengths are right) and descriptions (all well formed).

Now `setups.py` checks a set-up once, `room.py` owns time limits and who goes first at the cap. A clash is closed, because no release could tell the two calls apart. Only the one who sent a set-up can give it up. Good messages ahead of a malformed one count. A call given up stays booked until the module has heard of it: before, a set-up decided on in the same batch stayed open in its view of the server for ever (`bad_action` in the log).

--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -21,6 +21,7 @@
     Answered,
     Attempt,
     AttemptOver,
+    Caller,
     CallerGone,
     CallOver,
     Offer,
@@ -62,6 +63,9 @@
         self._off: set[str] = set()  # servers told to drain or to be gone
         self._listed: dict[str, float] = {}  # servers heard of -> their last start
         self._late: deque[i.Event] = deque()  # ends of attempts that were over as soon as placed
+        # Calls given up in this batch: booked until the module has heard of it, or a set-up that it decided
+        # on before that would never end, and would stay open in its view of that server.
+        self._leaving: list[Entry] = []
         self._controller = Controller(settings, seed, clock())
 
     @property
@@ -103,6 +107,9 @@
             self._perform(self._controller.step(now, events))
             events = list(self._late)
             self._late.clear()
+        for entry in self._leaving:
+            self._ledger.close(entry)
+        self._leaving.clear()
 
     def give_up(self) -> None:
         """The end of the program: fails what is unanswered and releases what stands."""
@@ -133,8 +140,8 @@
                     self._counters.add("core.late_words")
                     return []
                 return [self._fall(entry, now, i.Outcome.RESET if cut else i.Outcome.OK)]
-            case CallerGone(call):
-                return self._gone(call, now)
+            case CallerGone(call, caller):
+                return self._gone(call, caller, now)
             case ServerDied(server, at):
                 stood = [e for e in self._ledger.standing(server) if e.stood <= at]
                 return [self._fall(entry, now, i.Outcome.RESET) for entry in stood]
@@ -144,8 +151,9 @@
                 return [event]
 
     def _offered(self, offer: Offer, now: float) -> list[i.Event]:
-        if offer.call in self._ledger:  # the same set-up twice: one answer is owed, and on its way
-            self._counters.add("calls.duplicate")
+        if offer.call in self._ledger:  # whoever sent it, the call that is open keeps its id
+            self._counters.add("calls.clashes")
+            offer.caller.clashes()
             return []
         if self._ledger.full:  # memory is bounded; the caller is told to stay away as long as it can be
             self._counters.add("answers.no_room")
@@ -227,10 +235,10 @@
         self._counters.add("answers.overdue")
         entry.answered = True
         entry.offer.caller.failed()
-        self._ledger.close(entry)
+        self._leaving.append(entry)
         return [i.CallerLeft(entry.offer.call)]
 
-    def _gone(self, call: str, now: float) -> list[i.Event]:
+    def _gone(self, call: str, caller: Caller | None, now: float) -> list[i.Event]:
         entry = self._ledger.get(call)
         if entry is None:
             self._counters.add("core.late_words")
@@ -238,12 +246,12 @@
         if entry.standing_at is not None:
             self._servers.release(entry.standing_at, call)
             return [self._fall(entry, now, i.Outcome.CANCELLED, told=False)]
-        if entry.answered:
+        if entry.answered or entry.offer.caller is not caller:
             self._counters.add("core.late_words")
             return []
         entry.answered = True
         self._counters.add("calls.given_up")
-        self._ledger.close(entry)
+        self._leaving.append(entry)
         return [i.CallerLeft(call)]
 
     def _fall(self, entry: Entry, now: float, outcome: i.Outcome, *, told: bool = True) -> i.Event:
--- a/harepick/core/words.py
+++ b/harepick/core/words.py
@@ -25,6 +25,9 @@
     def over(self, *, cut: bool) -> None:
         """A standing call has ended."""
 
+    def clashes(self) -> None:
+        """Another call is open under this one's id: it goes no further, and no answer will come."""
+
 
 @dataclass(slots=True)
 class Offer:
@@ -79,9 +82,13 @@
 
 @dataclass(slots=True)
 class CallerGone:
-    """The caller gives its set-up up, or releases its standing call."""
+    """A caller gives its set-up up, or releases a standing call.
+
+    A set-up is given up by the `caller` that sent it alone; a call that stands belongs to no connection, so
+    that anyone who names it may release it."""
 
     call: str
+    caller: Caller | None = None
 
 
 # Words from the servers' port
--- a/harepick/enumdns/front.py
+++ b/harepick/enumdns/front.py
@@ -51,10 +51,10 @@
 class Lookup:
     """One look-up under way: the caller of a call, to the core."""
 
-    __slots__ = ("_client", "_front", "_key", "query")
+    __slots__ = ("_client", "_front", "_key", "call", "query")
 
-    def __init__(self, front: Front, key: Key, query: codec.Query, client: Client) -> None:
-        self._front, self._key, self.query, self._client = front, key, query, client
+    def __init__(self, front: Front, call: str, key: Key, query: codec.Query, client: Client) -> None:
+        self._front, self.call, self._key, self.query, self._client = front, call, key, query, client
 
     def stands(self, description: bytes) -> None:
         room = self._client.room(self.query)
@@ -77,6 +77,10 @@
     def over(self, *, cut: bool) -> None:
         """A look-up is over as soon as it is answered."""
 
+    def clashes(self) -> None:
+        """Ids are this front's own and never used twice."""
+        self.failed()
+
     def _own(self, message: dns.message.Message, kind: str) -> None:
         self._done(codec.encode(message, self._client.room(self.query)), kind)
 
@@ -101,7 +105,7 @@
         self._suffix = dns.name.from_text(config.suffix)
         self._inbox = inbox
         self._log = log
-        self._open: dict[Key, str] = {}
+        self._open: dict[Key, Lookup] = {}
         self._count = 0
         self._connections = 0
         self._udp: Outbox[tuple[bytes, tuple[str, int]]] = Outbox()
@@ -150,9 +154,9 @@
             finally:
                 self._connections -= 1
                 with anyio.CancelScope(shield=True):
-                    for key, call in [(k, c) for k, c in self._open.items() if k[0] is outbox]:
+                    for key, lookup in [(k, c) for k, c in self._open.items() if k[0] is outbox]:
                         self._open.pop(key, None)
-                        await self._inbox.put(CallerGone(call))
+                        await self._inbox.put(CallerGone(lookup.call, lookup))
 
     async def _read_tcp(self, stream: SocketStream, outbox: Outbox[bytes]) -> None:
         def write(answer: bytes) -> None:
@@ -214,7 +218,7 @@
             return
         self._count += 1
         call = f"enum-{self._count}"
-        self._open[key] = call
+        lookup = self._open[key] = Lookup(self, call, key, query, client)
         await self._inbox.put(
             Offer(
                 call=call,
@@ -224,7 +228,7 @@
                     f"{client.host} {number}".encode()
                 ),  # a client that asks again is known by it
                 deadline=now + max(self._config.deadline - MARGIN, self._config.deadline / 2),
-                caller=Lookup(self, key, query, client),
+                caller=lookup,
                 request=query.question,
             )
         )
--- a/harepick/net/binary.py
+++ b/harepick/net/binary.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 MOST = 16 * 1024  # bytes of a message, its length field included
@@ -39,21 +40,26 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
-    def feed(self, data: bytes) -> list[Message]:
-        self._buffer += data
-        messages = []
+    @property
+    def pending(self) -> bool:
+        """A message has begun that is not yet whole."""
+        return bool(self._buffer)
+
+    def feed(self, data: bytes) -> Iterator[Message]:
+        """The messages that are whole now, one by one: what comes ahead of a malformed one counts."""
+        buffer = self._buffer + data
+        self._buffer = bytearray()
         start = 0
-        while len(self._buffer) - start >= 2:
-            length = int.from_bytes(self._buffer[start : start + 2], "big")
+        while len(buffer) - start >= 2:
+            length = int.from_bytes(buffer[start : start + 2], "big")
             if length < HEAD.size - 2 or length + 2 > MOST:
                 raise BinaryError(f"a message of {length} bytes")
             end = start + 2 + length
-            if len(self._buffer) < end:
+            if len(buffer) < end:
                 break
-            messages.append(_message(bytes(self._buffer[start:end])))
+            yield _message(bytes(buffer[start:end]))
             start = end
-        del self._buffer[:start]
-        return messages
+        self._buffer = buffer[start:]
 
 
 def _message(data: bytes) -> Message:
--- a/harepick/net/callers.py
+++ b/harepick/net/callers.py
@@ -2,18 +2,18 @@
 
 Owns the caller connections and the releases that still look for one. A standing call belongs to no
 connection: its release goes out on the one of its set-up, else on any open one, else on the next one opened.
+What a set-up must look like is in `setups.py`; which connections may stay, and for how long, in `room.py`.
 """
 
 from __future__ import annotations
 
-import re
 import time
 from collections import deque
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream
+import anyio.lowlevel
+from anyio.abc import SocketAttribute, SocketListener, SocketStream
 
 from harepick import interface as i
 from harepick.core.inbox import Inbox
@@ -21,62 +21,45 @@
 from harepick.counters import Counters
 from harepick.log import Log
 from harepick.net import binary
-from harepick.net.outbox import Outbox
+from harepick.net.room import Connection, Item, Room
+from harepick.net.setups import BadSetUpError, SetUps
 
 NORMAL, RESET, CONGESTION, FAILURE = 16, 41, 42, 41  # causes of Q.850 in releases
-MISSING, NO_TYPE, INVALID, BAD_NUMBER = 96, 97, 100, 28
+NO_TYPE = 97
 SEND_TIMEOUT = 5.0  # a caller that takes nothing for so long has its connection closed
 WAITING = 4_096  # releases kept for the next connection
-NUMBER = re.compile(rb"[0-9A-Za-z+*#_.-]{1,64}$")  # what fits into a SIP address as it is
-
-
-@dataclass(slots=True)
-class Request:
-    """The fields of a set-up that go on unchanged."""
-
-    class_name: bytes
-    number: bytes
-    description: bytes
-
-
-@dataclass(slots=True)
-class Item:
-    call: bytes
-    data: bytes
-    kind: str  # answer, final, release or free
+MOST_BAD = 16  # faulty messages taken from one connection; a client that sends the same again is closed
+AT_ONCE = 32  # messages taken before the other connections have their turn
 
 
 @dataclass(eq=False, slots=True)
-class Connection:
-    stream: SocketStream
-    outbox: Outbox[Item] = field(default_factory=Outbox)
-    open: set[bytes] = field(default_factory=set)  # set-ups that wait for their answer
-    alive: bool = True
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
-
-
 class BinaryCaller:
     """The caller of one call, as the core sees it."""
 
-    __slots__ = ("_call", "_connection", "_hub")
-
-    def __init__(self, hub: Callers, connection: Connection, call: bytes) -> None:
-        self._hub, self._connection, self._call = hub, connection, call
+    hub: Callers
+    connection: Connection
+    call: bytes
 
     def stands(self, description: bytes) -> None:
-        self._hub.write(self._connection, Item(self._call, binary.answer(self._call, description), "answer"))
+        self.hub.write(self.connection, Item(self.call, binary.answer(self.call, description), "answer"))
 
     def refused(self, stay_away: float) -> None:
         wait = round(stay_away * 1000) if stay_away > 0 else None
-        data = binary.release(self._call, CONGESTION, wait)
-        self._hub.write(self._connection, Item(self._call, data, "final"))
+        data = binary.release(self.call, CONGESTION, wait)
+        self.hub.write(self.connection, Item(self.call, data, "final"))
 
     def failed(self) -> None:
-        self._hub.write(self._connection, Item(self._call, binary.release(self._call, FAILURE), "final"))
+        self.hub.write(self.connection, Item(self.call, binary.release(self.call, FAILURE), "final"))
 
     def over(self, *, cut: bool) -> None:
-        data = binary.release(self._call, RESET if cut else NORMAL)
-        self._hub.release(self._connection, Item(self._call, data, "release"))
+        data = binary.release(self.call, RESET if cut else NORMAL)
+        self.hub.release(self.connection, Item(self.call, data, "release"))
+
+    def clashes(self) -> None:
+        """No release can tell the two calls apart, so the close is this one's answer."""
+        if self.connection.open.get(self.call) is self:
+            del self.connection.open[self.call]  # its close must not give the other call up
+        self.connection.scope.cancel()
 
 
 class Callers:
@@ -88,38 +71,51 @@
         log: Log,
         most: int,
     ) -> None:
-        self._patience: Mapping[bytes, float] = {c.name.encode(): c.give_up for c in classes}
+        self._set_ups = SetUps(classes)
         self._inbox = inbox
         self._counters = counters
         self._log = log
-        self._most = most
-        self._connections: set[Connection] = set()
+        self._room = Room(most, counters)
         self._waiting: deque[Item] = deque(maxlen=WAITING)
 
     @property
     def unwritten(self) -> int:
-        return sum(len(connection.outbox) for connection in self._connections)
+        return sum(len(connection.outbox) for connection in self._room.connections)
+
+    async def listen(self, listener: SocketListener) -> None:
+        """Accepts for as long as the program serves; neither a connection that is gone again nor a lack of
+        descriptors ends that."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._room.watch)
+            while True:
+                try:
+                    stream = await listener.accept()
+                except OSError as error:
+                    self._counters.add("callers.not_accepted")
+                    self._log.event("not_accepted", error=error.strerror)
+                    self._room.make()
+                    await anyio.sleep(0.02)
+                    continue
+                tasks.start_soon(self.serve, stream)
 
     async def serve(self, stream: SocketStream) -> None:
         """One connection, from its acceptance to its end; no fault of it goes further."""
-        if len(self._connections) >= self._most:
-            self._counters.add("callers.turned_away")
-            await stream.aclose()
+        connection = Connection(stream, time.time())
+        if not self._room.enter(connection):
+            await anyio.aclose_forcefully(stream)
             return
-        connection = Connection(stream)
-        self._connections.add(connection)
         self._counters.add("callers.connections")
-        while self._waiting:
-            connection.outbox.put(self._waiting.popleft())
         try:
             with connection.scope:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._write, connection)
                     await self._read(connection)
                     tasks.cancel_scope.cancel()
+        except Exception as error:
+            self._counters.add("callers.faults")
+            self._log.event("fault", where="caller", error=repr(error))
         finally:
-            connection.alive = False
-            self._connections.discard(connection)
+            self._room.leave(connection)
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
                 await self._closed(connection)
@@ -127,20 +123,24 @@
     async def _closed(self, connection: Connection) -> None:
         """What was open on a connection is given up with it; what is over is told on another one."""
         for item in connection.outbox.clear():
-            if item.kind == "answer":
-                connection.open.add(item.call)
+            if item.kind == "answer" and item.caller:
+                connection.open[item.call] = item.caller
             elif item.kind == "release":
                 self.release(connection, item)
-        for call in connection.open:
-            await self._inbox.put(CallerGone(call.hex()))
+        for call, caller in connection.open.items():
+            await self._inbox.put(CallerGone(call.hex(), caller))
 
     async def _read(self, connection: Connection) -> None:
         decoder = binary.Decoder()
         while True:
             try:
                 data = await connection.stream.receive()
-                now = time.time()
-                messages = decoder.feed(data)
+                now, count = time.time(), 0
+                for message in decoder.feed(data):
+                    await self._take(connection, message, now)
+                    count += 1
+                    if count % AT_ONCE == 0:
+                        await anyio.lowlevel.checkpoint()
             except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
                 return
             except binary.BinaryError as error:
@@ -148,17 +148,26 @@
                 peer = connection.stream.extra(SocketAttribute.remote_address, None)
                 self._log.event("malformed", peer=str(peer), error=str(error))
                 return
-            for message in messages:
-                await self._take(connection, message, now)
+            if connection.bad > MOST_BAD:
+                self._counters.add("callers.too_bad")
+                return
+            if not decoder.pending:
+                connection.half_since = None
+            elif count or connection.half_since is None:
+                connection.half_since = now
 
     async def _take(self, connection: Connection, message: binary.Message, now: float) -> None:
+        if connection.bad > MOST_BAD:
+            return
         match message.type:
             case binary.SET_UP:
                 await self._set_up(connection, message, now)
             case binary.RELEASE:
                 self._counters.add("callers.releases")
-                connection.open.discard(message.call)
-                await self._inbox.put(CallerGone(message.call.hex()))
+                self._fits(connection)
+                caller = connection.open.pop(message.call, None)
+                self._room.over(message.call)
+                await self._inbox.put(CallerGone(message.call.hex(), caller))
                 heard = binary.Message(binary.HEARD, message.call).encode()
                 self.write(connection, Item(message.call, heard, "free"))
             case binary.TEST:
@@ -169,56 +178,64 @@
                 pass
             case _:
                 self._counters.add("callers.unknown")
+                connection.bad += 1
                 self.write(connection, Item(message.call, binary.release(message.call, NO_TYPE), "free"))
+        connection.at = now
 
     async def _set_up(self, connection: Connection, message: binary.Message, now: float) -> None:
         self._counters.add("callers.set_ups")
-        fields = message.parameters
-        class_name, number = fields.get(binary.CLASS, b""), fields.get(binary.NUMBER, b"")
-        table = binary.figures(fields.get(binary.FIGURES, b""))
-        cause = 0
-        if class_name not in self._patience:
-            cause = INVALID if class_name else MISSING
-        elif not NUMBER.match(number):
-            cause = BAD_NUMBER if number else MISSING
         try:
-            patience = float(int(fields[binary.PATIENCE])) / 1000.0 if binary.PATIENCE in fields else None
-            dest = int(table.get("dest", "-1"))
-        except ValueError:
-            cause = INVALID
-        if cause:
+            set_up = self._set_ups.read(message)
+        except BadSetUpError as error:
             self._counters.add("callers.bad_set_ups")
-            self.write(connection, Item(message.call, binary.release(message.call, cause), "final"))
+            connection.bad += 1
+            self.write(connection, Item(message.call, binary.release(message.call, error.cause), "final"))
             return
-        connection.open.add(message.call)
+        caller = BinaryCaller(self, connection, message.call)
+        if message.call in connection.open:
+            self._counters.add("calls.clashes")
+            connection.scope.cancel()
+            return
+        connection.open[message.call] = caller
+        self._fits(connection)
         await self._inbox.put(
             Offer(
                 call=message.call.hex(),
-                class_name=class_name.decode(),
-                destination=dest,
-                number=int.from_bytes(number, "big"),
-                deadline=now + (self._patience[class_name] if patience is None else patience),
-                caller=BinaryCaller(self, connection, message.call),
-                request=Request(class_name, number, fields.get(binary.DESCRIPTION, b"")),
-                again=table.get("again") == "1",
+                class_name=set_up.request.class_name.decode(),
+                destination=set_up.destination,
+                number=int.from_bytes(set_up.request.number, "big"),
+                deadline=now + set_up.patience,
+                caller=caller,
+                request=set_up.request,
+                again=set_up.again,
             )
         )
 
+    def _fits(self, connection: Connection) -> None:
+        """It speaks as a caller does: releases that wait for an open connection go out on it."""
+        connection.fit = True
+        while self._waiting:
+            connection.outbox.put(self._waiting.popleft())
+
     # Towards the caller
 
     def write(self, connection: Connection, item: Item) -> None:
         """To this connection or to none; one that takes nothing is closed."""
         if item.kind in ("answer", "final"):
-            connection.open.discard(item.call)
+            item.caller = connection.open.pop(item.call, None)
         if not connection.alive:
             self._counters.add("callers.unwritten")
         elif not connection.outbox.put(item):
-            connection.open.add(item.call)
+            if item.caller:
+                connection.open[item.call] = item.caller
             self._counters.add("callers.too_slow")
             connection.scope.cancel()
+        elif item.kind == "answer":
+            self._room.stands(connection, item.call)
 
     def release(self, connection: Connection, item: Item) -> None:
-        target = connection if connection.alive else next(iter(self._connections), None)
+        self._room.over(item.call)
+        target = connection if connection.alive else self._room.other()
         if target is None or not target.outbox.put(item):
             self._waiting.append(item)
 
@@ -234,5 +251,6 @@
                     connection.outbox.put(item)
                 connection.scope.cancel()
                 return
+            connection.at = time.time()
             for item in items:
                 self._counters.add(f"callers.sent_{item.kind}")
--- a/harepick/net/servers.py
+++ b/harepick/net/servers.py
@@ -20,8 +20,8 @@
 from harepick.directory import Directory
 from harepick.log import Log
 from harepick.net import sip
-from harepick.net.callers import Request
 from harepick.net.outbox import Outbox
+from harepick.net.setups import Request
 from harepick.settings import Address
 
 NOTES = {"group_full": 1, "tandem_refused": 2, "processor_full": 3, "user_busy": 4, "destination_full": 18}
--- a/harepick/net/service.py
+++ b/harepick/net/service.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Mapping
 from dataclasses import fields
+from socket import SO_RCVBUF, SOL_SOCKET
 
 import anyio
-from anyio.abc import TaskStatus
+from anyio.abc import SocketAttribute, SocketListener, TaskStatus
 
 from harepick.core.engine import Engine
 from harepick.core.inbox import Inbox
@@ -22,6 +23,7 @@
 STILL_COMING = 0.8  # after SIGTERM, connections and set-ups still come for so long
 LONGEST_GRACE = 3.0  # SIGKILL comes this, or the longest deadline if shorter, and 0.7 s after SIGTERM
 FLUSH = 0.2
+RECEIVE = 32 * 1024  # bytes in a caller connection's receive buffer, twice a message at its longest
 
 
 class PlatformFront:
@@ -72,7 +74,11 @@
             await tasks.start(servers.run)
             tasks.start_soon(engine.run, self._known)
             tasks.start_soon(bus.run)
-            tasks.start_soon(listener.serve, callers.serve)
+            for each in listener.listeners:
+                assert isinstance(each, SocketListener)
+                # A client that sends without end may hold so much of our memory, and no more.
+                each.extra(SocketAttribute.raw_socket).setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE)
+                tasks.start_soon(callers.listen, each)
             log.event("listening", front="platform", listen=str(where), offset=directory.offset)
             task_status.started()
             await stop.wait()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -87,11 +87,19 @@
     def __init__(self, port: int) -> None:
         super().__init__(socket.create_connection(("127.0.0.1", port)), binary.Decoder())
 
-    def call(self, patience_ms: int = 4000, dest: int = 0, **changes: bytes) -> bytes:
-        call = secrets.token_bytes(8)
+    def call(
+        self,
+        patience_ms: int = 4000,
+        dest: int = 0,
+        *,
+        patience: str = "",
+        ident: bytes = b"",
+        **changes: bytes,
+    ) -> bytes:
+        call = ident or secrets.token_bytes(8)
         fields = {
             binary.CLASS: changes.get("cls", b"a"),
-            binary.PATIENCE: str(patience_ms).encode(),
+            binary.PATIENCE: (patience or str(patience_ms)).encode(),
             binary.NUMBER: changes.get("number", b"7f3a9c21e0b4d655"),
             binary.FIGURES: b"dest:%d;width:1;via:-1" % dest,
             binary.DESCRIPTION: b"offer\r\n",
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -43,7 +43,7 @@
 def test_noise_raises_the_codecs_own_error_or_nothing(data: bytes) -> None:
     for decoder, error in ((binary.Decoder(), binary.BinaryError), (sip.Decoder(), sip.SipError)):
         with suppress(error):
-            decoder.feed(data)
+            list(decoder.feed(data))
 
 
 @pytest.mark.parametrize(
@@ -57,9 +57,9 @@
 )
 def test_sip_is_bounded_and_strict(data: bytes) -> None:
     with pytest.raises(sip.SipError):
-        sip.Decoder().feed(data)
+        list(sip.Decoder().feed(data))
 
 
 def test_the_state_of_a_group_is_read_and_noise_in_it_left_out() -> None:
     head = b"NOTIFY sip:exchange@net SIP/2.0\r\nP-Load: free:27;size:278;odd:x;\r\nContent-Length: 0\r\n\r\n"
-    assert sip.load(sip.Decoder().feed(head)[0]) == {"free": 27.0, "size": 278.0}
+    assert sip.load(next(iter(sip.Decoder().feed(head)))) == {"free": 27.0, "size": 278.0}
