--- a/harepick/net/outbox.py
+++ b/harepick/net/outbox.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Generic, TypeVar
 
 import anyio
@@ -36,5 +37,8 @@
         self._items.clear()
         return items
 
+    def drop(self, what: Callable[[Item], bool]) -> None:
+        self._items = deque(item for item in self._items if not what(item))
+
     def __len__(self) -> int:
         return len(self._items)
--- a/harepick/net/sip.py
+++ b/harepick/net/sip.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 MOST = 16 * 1024  # bytes of a message, head and body together
 GAP = b"\r\n\r\n"
-STATUS = re.compile(rb"SIP/2\.0 ([1-6]\d\d)(?: .*)?$")
-REQUEST = re.compile(rb"([A-Z]+) (\S+) SIP/2\.0$")
-DIGITS = re.compile(rb"\d{1,9}$")
+STATUS = re.compile(rb"SIP/2\.0 ([1-6]\d\d)(?: .*)?")
+REQUEST = re.compile(rb"([A-Z]+) (\S+) SIP/2\.0")
+# A first line cut short: of a response, of a request, or the keep-alive ahead of one.
+BEGUN = re.compile(rb"SIP(/(2(\.(0( .*)?)?)?)?)?|[A-Z]{1,12}( (s(i(p(:.*)?)?)?)?)?|\r", re.DOTALL)
+DIGITS = re.compile(rb"\d{1,9}")
+SINGLE = (b"content-length", b"call-id", b"cseq")  # headers that must not be there twice with two values
 
 
 class SipError(ValueError):
@@ -34,7 +38,7 @@
     def number(self) -> int:
         """Of its CSeq; -1 without one."""
         word = self.headers.get(b"cseq", b"").split(b" ")[0]
-        return int(word) if DIGITS.match(word) else -1
+        return int(word) if DIGITS.fullmatch(word) else -1
 
     def text(self, name: bytes) -> str:
         return self.headers.get(name, b"").decode("latin-1")
@@ -46,31 +50,60 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
-    def feed(self, data: bytes) -> list[Message]:
-        self._buffer += data
-        messages: list[Message] = []
+    @property
+    def pending(self) -> bool:
+        """A message has begun that is not yet whole."""
+        return bool(self._buffer)
+
+    def feed(self, data: bytes) -> Iterator[Message]:
+        """The messages that are whole now, one by one: what comes ahead of a malformed one counts."""
+        buffer, self._buffer = self._buffer + data, bytearray()
         while True:
             start = 0
-            while self._buffer[start : start + 2] == b"\r\n":  # keep-alives between messages
+            while buffer[start : start + 2] == b"\r\n":  # keep-alives between messages
                 start += 2
-            del self._buffer[:start]
-            end = self._buffer.find(GAP)
+            del buffer[:start]
+            end = buffer.find(GAP)
             if end < 0:
-                if len(self._buffer) > MOST:
+                if len(buffer) > MOST:
                     raise SipError("a head over 16 KiB")
-                return messages
-            message = _head(bytes(self._buffer[:end]))
+                break
+            message = _head(bytes(buffer[:end]))
             length = message.headers.get(b"content-length", b"")
-            if not DIGITS.match(length):
+            if not DIGITS.fullmatch(length):
                 raise SipError(f"Content-Length {length[:20]!r}")
             whole = end + len(GAP) + int(length)
             if whole > MOST:
                 raise SipError(f"a message of {whole} bytes")
-            if len(self._buffer) < whole:
-                return messages
-            message.body = bytes(self._buffer[end + len(GAP) : whole])
-            del self._buffer[:whole]
-            messages.append(message)
+            if len(buffer) < whole:
+                break
+            message.body = bytes(buffer[end + len(GAP) : whole])
+            del buffer[:whole]
+            _fits(message.body, buffer)
+            yield message
+        self._buffer = buffer
+        if not _begins(buffer):
+            raise SipError(f"first line {bytes(buffer[:40])!r}")
+
+
+def _fits(body: bytes, rest: bytearray) -> None:
+    """Guards against a Content-Length that is too small: the start of a body would pass for all of it, and
+    be passed on as an answer that nobody gave. What follows a message must be able to begin one, and a line
+    end that the body lacks is the body's."""
+    cut = rest.startswith(b"\r\n") and body and not body.endswith(b"\r\n")
+    start = 0
+    while rest[start : start + 2] == b"\r\n":
+        start += 2
+    if cut or not _begins(rest[start:]):
+        raise SipError(f"a body of {len(body)} bytes that goes on")
+
+
+def _begins(data: bytearray) -> bool:
+    """Nothing, or what may be the start of a message."""
+    line, whole, _ = data.partition(b"\r\n")
+    if whole:
+        return bool(STATUS.fullmatch(line) or REQUEST.fullmatch(line))
+    return not line or bool(BEGUN.fullmatch(line))
 
 
 def _head(data: bytes) -> Message:
@@ -80,11 +113,13 @@
         name, mark, value = line.partition(b":")
         if not mark:
             raise SipError(f"header line {line[:40]!r}")
-        headers.setdefault(name.strip().lower(), value.strip())
-    if status := STATUS.match(first):
+        name, value = name.strip().lower(), value.strip()
+        if headers.setdefault(name, value) != value and name in SINGLE:
+            raise SipError(f"two values of {name.decode('latin-1')}")
+    if status := STATUS.fullmatch(first):
         method = headers.get(b"cseq", b"").rpartition(b" ")[2].decode("latin-1")
         return Message(method, int(status[1]), headers=headers)
-    if request := REQUEST.match(first):
+    if request := REQUEST.fullmatch(first):
         return Message(request[1].decode(), 0, request[2], headers)
     raise SipError(f"first line {first[:40]!r}")
 
@@ -140,6 +175,6 @@
     report = {}
     for part in message.text(b"p-load").split(";"):
         name, _, value = part.partition(":")
-        if DIGITS.match(value.strip().encode()):
+        if DIGITS.fullmatch(value.strip().encode()):
             report[name.strip()] = float(value)
     return report
