Spread set-ups over several lines to a server, and leave a line that has gone dead

A probe of every attempt's end showed that from its 8th second nothing stood at one server any more, and from the 14th at the other: all set-ups there timed out after 0.98 s, while the tokens of the module went down to its floor and 85 of 100 calls were refused. The servers lived: the other nodes had answers from them until their own connection went the same way.

At fault, net/link.py: a connection that brings nothing after an unanswered set-up stays open, and everything went on to be sent there; the check of a silent server opened a second connection, took it as a sign of life, and sent nothing on it. Ruled out: processor time (0.18 s a second at most), the module (it saw what it was told, silence), free lines (over 100 at all times), the callers' side (answers in 2 ms).

Now `line.py` is one connection and `link.py` all lines of one server (16 at most, those quiet included). A set-up goes out on a line with nothing else open, so that one spoilt or missing answer takes no others along. A line that is quiet with a set-up open gets no more, and is closed once the server has answered what it was sent 0.1 s later. Refusals do not count for that: they wait in no line.

--- a/harepick/net/servers.py
+++ b/harepick/net/servers.py
@@ -1,7 +1,7 @@
 """The core's port towards the setup servers: hands every order to the link of its server.
 
 Owns which links there are. It decides nothing: whether a set-up may still leave is asked of the core right
-before its bytes go, in `link.py`.
+before its bytes go, in `line.py`.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 from harepick.counters import Counters
 from harepick.directory import Directory
 from harepick.log import Log
-from harepick.net.link import Bye, Cancel, Link
+from harepick.net.link import Link
 
 
 class Servers:
@@ -38,7 +38,7 @@
         self._tasks: TaskGroup | None = None
 
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
-        """Holds the links' tasks."""
+        """Holds the tasks of the links and their lines."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             task_status.started()
@@ -52,17 +52,16 @@
         link = self._link(attempt.server)
         if link is None:
             return i.Outcome.UNREACHED
-        return None if link.outbox.put(attempt) else i.Outcome.MOOT
+        return None if link.place(attempt) else i.Outcome.MOOT
 
     def cancel(self, attempt: Attempt) -> bool:
         link = self._links.get(attempt.server)
-        if link is None or attempt.sent is None or link.open.get(attempt.call) is not attempt:
-            return True  # it never left, or its connection took it along
-        return not link.outbox.put(Cancel(attempt))
+        # If it is open nowhere, it never left, or its connection took it along.
+        return link is None or attempt.sent is None or not link.cancel(attempt)
 
     def release(self, server: str, call: str) -> None:
         link = self._links.get(server)
-        if link is None or not link.outbox.put(Bye(call)):
+        if link is None or not link.release(call):
             self.counters.add("servers.releases_lost")
 
     def listed(self, event: i.ServerList) -> None:
@@ -79,6 +78,6 @@
         row = self.directory.get(server)
         if row is None or row.entry.state == "gone" or self._tasks is None:
             return None
-        link = self._links[server] = Link(self, server, row.address)
-        self._tasks.start_soon(link.run)
+        link = self._links[server] = Link(self, self._tasks, server, row.address)
+        self._tasks.start_soon(link.watch)
         return link
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -57,7 +57,7 @@
         call, _server = stand(place, caller)
         place.setups[0].listener.close()
         assert caller.told(call, within=8.0).parameters[binary.CAUSE] == bytes([41])
-        assert running.counters()["servers.vanished"] == 1
+        assert running.counters()["servers.died"] == 1
 
 
 def test_a_silent_server_that_takes_connections_keeps_its_calls() -> None:
@@ -69,7 +69,7 @@
         assert caller.silent(1.0)
         second.send(sip.bye(b"1", call.hex(), 7, 16))  # what it has to say may come on the new one
         assert caller.told(call).parameters[binary.CAUSE] == bytes([16])
-        assert "servers.vanished" not in running.counters()
+        assert "servers.died" not in running.counters()
 
 
 def test_the_second_attempt_of_a_call_is_answered_too() -> None:
@@ -181,6 +181,42 @@
         assert running.counters()["servers.malformed"] == 1
 
 
+def test_a_line_that_has_gone_dead_is_left_and_its_set_up_sent_again() -> None:
+    """It stays open and brings nothing: everything sent there until the end of the day was lost."""
+    place = peers.Platform()
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        _, dead = stand(place, caller)
+        lost = caller.call(patience_ms=3500)
+        peers.invite(dead)
+        time.sleep(0.2)  # the server takes set-ups in turn, and the next one comes well after this one
+        _, alive = stand(place, caller)  # on a line of its own
+        assert caller.silent(0.1)
+        with pytest.raises(EOFError):
+            dead.next(lambda _: False)
+        again = peers.invite(alive)
+        assert again.call == lost.hex()
+        peers.reply(alive, again, 200, b"answer")
+        assert caller.told(lost).type == binary.ANSWER
+        assert running.counters()["servers.dead_lines"] == 1
+
+
+def test_a_spoilt_answer_takes_no_other_set_up_along() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        caller.call()
+        spoilt = place.setups[0].accept()
+        peers.invite(spoilt)
+        other = caller.call()
+        sound = place.setups[0].accept()
+        asked = peers.invite(sound)
+        spoilt.send(b"\xffnoise\r\n\r\n")
+        peers.until(lambda: running.events("closed"), why="the end of the spoilt line")
+        peers.reply(sound, asked, 200, b"answer")
+        assert caller.told(other).type == binary.ANSWER
+
+
 def test_a_second_copy_and_an_answer_under_an_unknown_id_change_nothing() -> None:
     place = peers.Platform()
     with place.run() as running:
@@ -319,7 +355,8 @@
             running.process.send_signal(signal.SIGHUP)
             follower = bus.accept()[0]
             assert follower.recv(100) == b"from 1\n"
-            assert running.events("reloaded")[0]["waiting_for_restart"] == ["sockets"]
+            told = peers.until(lambda: running.events("reloaded"), why="the new file")[0]
+            assert told["waiting_for_restart"] == ["sockets"]
             drain = peers.event(2, peers.row("s0", place.setups[0].address, 0, "DRAINING"))
             follower.sendall(json.dumps(drain).encode() + b"\n")
             peers.until(lambda: running.events("list"), why="the drain")
