Let errors steer calls to other servers, but shut none for them

A probe of what the module believes shows why: one server answered 80% of its set-ups with 500 after 35 ms, the share of faults read as occupancy 0.9 to 1.1 and shut it, and the other server, a sixth of its size, had tokens for 3 calls a second. Its waits were short all the time: there was no load to guard against.

At fault, decide.py: FAULTS held ERROR, so that an answer given at once counted like a dead server; `_route` left out the server that a call had just tried even where nobody else took it.

Now an error moves a share of its own: servers under it go first while they are open and have tokens, then an erring one, and after an error the same one again, up to the limit of attempts. Resets and failed connections shut as before. The design's throttle and gate are untouched: waits alone make the occupancy here.

--- a/harepick/decide.py
+++ b/harepick/decide.py
@@ -36,7 +36,8 @@
 FAULT_MEMORY = 4  # attempts that the share of faults remembers: one fault alone never shuts a server
 FAULT_SHARE = 0.6  # share of recent attempts ended in a fault, above the others' mean, that reads as Pmax
 NWAIT_FAULTS = 16  # intervals in which the share of faults fades while the server is shut
-FAULTS = (i.Outcome.ERROR, i.Outcome.RESET, i.Outcome.UNREACHED)
+FAULTS = (i.Outcome.RESET, i.Outcome.UNREACHED)
+ERRING = 0.5  # share of recent set-ups answered with an error: others with room go before such a server
 TICK = 0  # token of the interval's wake-up; holds use HOLD
 HOLD = 1
 EPS = 1e-6  # the clock counts microseconds
@@ -104,6 +105,7 @@
         self.heard = now
         self.gap = 1.0  # mean time between two hearings
         self.faults = 0.0  # share of recent attempts that met a fault
+        self.errors = 0.0  # share answered at once with an error: no load, so that it shuts nothing
         self.answered = 0.0  # when the latest set-up answered so far was sent: older silent ones tell nothing
 
     def spoke(self, now: float) -> None:
@@ -140,7 +142,7 @@
 
     __slots__ = (
         *("id", "cls", "dest", "arrived", "transit", "until", "tries", "out", "last"),
-        *("not_before", "revoked", "may_run", "stands"),
+        *("not_before", "revoked", "may_run", "stands", "erred"),
     )
 
     def __init__(self, event: i.CallArrived, cls: i.CallClass, now: float) -> None:
@@ -154,6 +156,7 @@
         self.not_before = 0.0  # release guard
         self.may_run: Server | None = None  # an attempt there may have run
         self.stands = False
+        self.erred = False  # the attempt before this one was answered with an error
 
 
 class Controller:
@@ -252,6 +255,7 @@
         if server:
             server.answered = max(server.answered, server.out.pop((event.call, event.attempt), 0.0))
             server.faults -= server.faults / FAULT_MEMORY
+            server.errors -= server.errors / FAULT_MEMORY
             server.stood_now += 1
             self.floor = min(self.floor, event.elapsed)
             server.hear(self.now, event.elapsed - self.floor, self.wait_at_pmax)
@@ -283,6 +287,9 @@
         no_line = out is i.Outcome.FULL and event.cause == 1
         if server and not stood and not busy_line and (lost or no_line or out in FAULTS):
             server.faults += (1.0 - server.faults) / FAULT_MEMORY
+        if server and out is i.Outcome.ERROR and not stood and not busy_line:
+            server.spoke(self.now)
+            server.errors += (1.0 - server.errors) / FAULT_MEMORY
         if server and out is i.Outcome.FULL and self.sticky == server.id:
             self.sticky = None
         if call is None or call.tries - 1 != event.attempt:
@@ -295,6 +302,7 @@
             call.not_before = self.now + self.s.release_guard + EPS
         if out not in (i.Outcome.FULL, i.Outcome.UNREACHED, i.Outcome.MOOT):
             call.may_run = server
+        call.erred = out is i.Outcome.ERROR
         if busy_line:
             self._finish(call)
         else:
@@ -445,16 +453,14 @@
         doomed = self.now + self.wait_at_pmax > call.arrived + call.cls.aim
         if doomed:  # too late to earn in full: it yields to calls that are not, wherever there is pressure
             usable = [s for s in usable if not s.eased and self._occupancy(s, WM) < LOW]
+        again = usable
         usable = [s for s in usable if s is not call.last] or usable  # redrawn after a failed attempt
+        sound = [s for s in usable if s.errors < ERRING]
+        # An error costs next to nothing and says nothing of the next: better there again than not at all.
+        for servers in (sound, usable, again if call.erred else []):
+            if server := self._open(call, servers):
+                return self._send(call, server)
         first = next((s for s in usable if s.number == call.dest), None)
-        if first and first.u and (not first.eased or first.gate.ready() or self._idle(first)):
-            return self._send(call, first)
-        others = [s for s in usable if s.u and s.gate.ready()]  # shed traffic must not topple the next
-        others = others or [s for s in usable if self._idle(s)]
-        if others:
-            server = next((s for s in others if s.id == self.sticky), None) or self.rng.choice(others)
-            self.sticky = server.id
-            return self._send(call, server)
         if usable and not doomed and (call.tries or call.cls.worth >= DEAR * self.mean_worth):
             passing = [s for s in usable if not ((s.eased and s.u) or self._gated(s)) or s.gate.ready()]
             if passing:
@@ -462,6 +468,19 @@
                 return self._send(call, first if first in passing else calmest)
         self._finish(call)
 
+    def _open(self, call: Call, servers: list[Server]) -> Server | None:
+        """The first choice while it is open, else one with a token: the one that last worked, or any."""
+        first = next((s for s in servers if s.number == call.dest), None)
+        if first and first.u and (not first.eased or first.gate.ready() or self._idle(first)):
+            return first
+        others = [s for s in servers if s.u and s.gate.ready()]  # shed traffic must not topple the next
+        others = others or [s for s in servers if self._idle(s)]
+        if others:
+            server = next((s for s in others if s.id == self.sticky), None) or self.rng.choice(others)
+            self.sticky = server.id
+            return server
+        return None
+
     def _idle(self, server: Server) -> bool:
         """Room beyond the tokens: next to no wait by enough words, and hardly a set-up out to tell of one."""
         few = max(1.0, self._carried(server) * self.wait_at_pmax)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -312,3 +312,34 @@
         world.after(0.2)
         world.feed(i.AttemptEnded(name, 0, "s0", i.Outcome.OK, 1.0, True))
     assert world.c.servers["s0"].u == 1
+
+
+def test_a_server_that_answers_errors_is_neither_shut_nor_first() -> None:
+    """One answered eight of ten with an error at once: shut for it, it left the calls to a server too small
+    for them, and six of ten were refused. Tried again, most of them stand."""
+    world = World()
+    world.servers(*entries(0, 1))
+    world.history()
+    for _ in range(8):  # s0 errs: each call goes on to the other one
+        name = world.call(0)
+        world.after(0.03)
+        if world.sent_to(name) == "s0":
+            world.end(name, i.Outcome.ERROR)
+        assert world.sent_to(name) == "s1"
+        world.after(0.02)
+        world.stand(name)
+        world.after(0.3)
+    name = world.call(0)
+    assert world.sent_to(name) == "s1"  # by now before it was tried there
+    world.stand(name)
+    world.servers(*entries(1, state="draining"), kind=i.ListKind.CHANGES)
+    name = world.call(0)
+    for _ in range(3):  # alone, it is tried again and again, and not shut
+        assert world.sent_to(name) == "s0"
+        world.after(0.03)
+        world.end(name, i.Outcome.ERROR)
+    assert world.sent_to(name) == "s0"
+    world.after(0.03)
+    world.stand(name)
+    world.after(1.0)
+    assert world.sent_to(world.call(0)) == "s0"
