--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -60,8 +60,8 @@
         self._clock = clock
         self._ledger = Ledger(room)
         self._timers: Timers[int | Attempt | Entry] = Timers()
-        self._off: set[str] = set()  # servers told to drain or to be gone
-        self._listed: dict[str, float] = {}  # servers heard of -> their last start
+        self._ready: set[str] = set()  # servers that set-ups may leave for
+        self._listed: dict[str, float] = {}  # servers in the list that are not gone -> their last start
         self._late: deque[i.Event] = deque()  # ends of attempts that were over as soon as placed
         # Calls given up in this batch: booked until the module has heard of it, or a set-up that it decided
         # on before that would never end, and would stay open in its view of that server.
@@ -273,9 +273,11 @@
             anew = row.started > self._listed.get(row.server, row.started)
             self._listed[row.server] = row.started
             if row.state == "ready":
-                self._off.discard(row.server)
+                self._ready.add(row.server)
             else:
-                self._off.add(row.server)
+                self._ready.discard(row.server)
+            if row.state == "gone":  # servers come and go for as long as we run: none is kept
+                del self._listed[row.server]
             if row.state == "gone" or anew:
                 at = row.started if anew and row.state != "gone" else now
                 events += self._hear(ServerDied(row.server, at), now)
@@ -354,5 +356,5 @@
             not attempt.ended
             and not attempt.revoked
             and now < attempt.deadline
-            and attempt.server not in self._off
+            and attempt.server in self._ready
         )
--- a/harepick/decide.py
+++ b/harepick/decide.py
@@ -31,6 +31,7 @@
 EASED_SHARE = 0.97  # r this close to rmax ends the easing in
 COLD_RAMP = 0.5  # of an even rise to full capacity: how a server warms is not told
 COLD_MARGIN = 0.7  # of what the cold rule allows this front: others may see more traffic than their share
+FORGET = 60.0  # a server gone for so long is forgotten: others keep coming under new ids
 GAP_MEMORY = 16  # hearings over which the time between them is averaged
 SILENT_GAPS = 5  # this many mean gaps without a word are silence: chance alone gives it once in e^5
 FAULT_MEMORY = 4  # attempts that the share of faults remembers: one fault alone never shuts a server
@@ -81,6 +82,7 @@
 
     def update(self, entry: i.ServerEntry, now: float) -> None:
         self.number, self.size, self.started = entry.number, max(entry.size, EPS), entry.started
+        self.gone = entry.state == "gone"
         if entry.state == "ready":
             self.told_off = None
         elif self.told_off is None:
@@ -236,8 +238,9 @@
                 known.cold_until = entry.started + self.s.warm_after
         if event.kind is not i.ListKind.CHANGES:
             for name, server in self.servers.items():
-                if name not in named and server.told_off is None:
-                    server.told_off = self.now
+                if name not in named:
+                    server.gone = True
+                    server.told_off = self.now if server.told_off is None else server.told_off
 
     def _report(self, name: str, report: object) -> None:
         server = self.servers.get(name)
@@ -336,6 +339,9 @@
         weight = self.interval / min(max(self.now - self.began, YOUNG), HISTORY)
         self.rate += weight * (self.arrivals / self.interval - self.rate)
         self.arrivals = 0
+        for name in [s.id for s in self.servers.values() if s.gone and not s.out]:
+            if self.now - (self.servers[name].told_off or self.now) > FORGET:
+                del self.servers[name]
         alive = [s.faults for s in self.servers.values() if s.told_off is None]
         self.all_faults = sum(alive), len(alive)
         for server in self.servers.values():
--- a/harepick/directory.py
+++ b/harepick/directory.py
@@ -14,7 +14,7 @@
 from harepick.settings import Address, SettingsError, address
 
 STATES = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
-MOST_SERVERS = 4_096  # rows kept; those of servers that are gone make way first
+MOST_GONE = 64  # rows kept of servers that are gone: they come and go for as long as we run
 
 
 class DirectoryError(ValueError):
@@ -75,9 +75,8 @@
             ]
         for row in changed:
             self._rows[row.entry.server] = row
-        for name in [n for n, r in self._rows.items() if r.entry.state == "gone"]:
-            if len(self._rows) <= MOST_SERVERS:
-                break
+        gone = [n for n, r in self._rows.items() if r.entry.state == "gone"]
+        for name in gone[: max(0, len(gone) - MOST_GONE)]:
             del self._rows[name]
         # A whole list goes on as changes that name each row: the module then hears of what is gone by name.
         return i.ServerList(i.ListKind.CHANGES, tuple(row.entry for row in changed))
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -151,3 +151,16 @@
         world.after(1.0)
         gains.append(server.r - before)
     assert gains[0] > 1.5 * gains[1] > 0.0
+
+
+def test_servers_that_have_gone_are_forgotten() -> None:
+    """On a long day servers are replaced by others under new ids: every tick and route walked them all."""
+    world = World()
+    for n in range(40):
+        world.servers(*entries(n), kind=i.ListKind.CHANGES)
+        world.stand(world.call(n))
+        world.after(5.0)
+        world.servers(*entries(n, state="gone"), kind=i.ListKind.CHANGES)
+    assert len(world.c.servers) < 20
+    world.servers(*entries(39), kind=i.ListKind.CHANGES)  # one that comes back is known or made anew
+    assert world.sent_to(world.call(39)) == "s39"
--- /dev/null
+++ b/tests/test_long_day.py
@@ -0,0 +1,85 @@
+"""What the core and the list keep of servers and calls that are over: nothing that grows."""
+
+from __future__ import annotations
+
+from harepick import interface as i
+from harepick.core.engine import Engine
+from harepick.core.inbox import Inbox
+from harepick.core.words import Attempt, AttemptOver, CallerGone, Offer, Told
+from harepick.counters import Counters
+from harepick.directory import MOST_GONE, Directory
+from harepick.log import Log
+from tests import peers
+from tests.world import settings
+
+
+class Port:
+    """Setup servers that take everything and say nothing."""
+
+    def __init__(self) -> None:
+        self.placed: list[Attempt] = []
+
+    def place(self, attempt: Attempt) -> i.Outcome | None:
+        self.placed.append(attempt)
+        return None
+
+    def cancel(self, attempt: Attempt) -> bool:
+        return True
+
+    def release(self, server: str, call: str) -> None:
+        pass
+
+
+class Silent:
+    """A caller that takes its answers."""
+
+    def stands(self, description: bytes) -> None: ...
+
+    def refused(self, stay_away: float) -> None: ...
+
+    def failed(self) -> None: ...
+
+    def over(self, *, cut: bool) -> None: ...
+
+    def clashes(self) -> None: ...
+
+
+def ready(name: str, state: str = "ready") -> Told:
+    return Told(i.ServerList(i.ListKind.CHANGES, (i.ServerEntry(name, 0, state),)))
+
+
+def engine() -> tuple[Engine, Port]:
+    port = Port()
+    return Engine(settings(), 7, port, Inbox(), Counters(), Log(fd=1), clock=lambda: 100.0), port
+
+
+def test_the_core_keeps_nothing_of_servers_that_are_gone() -> None:
+    core, port = engine()
+    for n in range(50):
+        core.turn([ready(f"s{n}")])
+        core.turn([ready(f"s{n}", "gone")])
+    assert not core._listed and not core._ready
+    core.turn([ready("s50"), Offer("c1", "low", 0, None, 103.0, Silent(), b"")])
+    attempt = port.placed[0]
+    assert attempt.may_leave(100.0)
+    core.turn([ready("s50", "gone")])
+    assert not attempt.may_leave(100.0)  # the last look holds for one that is forgotten, too
+
+
+def test_a_call_given_up_in_the_batch_of_its_next_attempt_leaves_nothing_open() -> None:
+    """The module had decided on a send that the ledger no longer knew: it stayed open in its books."""
+    core, port = engine()
+    caller = Silent()
+    core.turn([ready("s0"), ready("s1"), Offer("c1", "low", 0, None, 103.0, caller, b"")])
+    first = port.placed[0]
+    core.turn([AttemptOver(first, i.Outcome.FULL, 3), CallerGone("c1", caller)])
+    assert core.idle
+    assert not any(server.out for server in core._controller.servers.values())
+
+
+def test_the_list_keeps_few_of_the_servers_that_are_gone() -> None:
+    directory = Directory()
+    for n in range(1, 400, 2):
+        directory.apply(peers.event(n, peers.row(f"s{n}", "127.0.0.1:5", 0)))
+        directory.apply(peers.event(n + 1, peers.row(f"s{n}", "127.0.0.1:5", 0, "DELETED")))
+    assert len(directory.entries()) <= MOST_GONE
