Count a front's youth in intervals, so that it learns its own rate at the scale of its aims

A probe of the module's state: one early wait shut a server at 0.6 s; after that its tokens grew with `rate`, which said 13 a second after a second and 23 after two, while 45 came: the average starts from nought over YOUNG = 3.0 s. That is eight intervals where the tightest aim is 1.5 s, and 31 where it is 0.38 s.

--- a/harepick/decide.py
+++ b/harepick/decide.py
@@ -24,7 +24,7 @@
 STEP_SENDS = 1  # time of so many fair sends, if over Wt: r loosens and tokens last by it
 PEAK_SPAN = 60.0  # rmax is the top send rate within this span (design page)
 DEAR = 2.0  # a class worth this many times the mean passes shut servers as a tried call does
-YOUNG = 3.0  # a front younger than this knows too little to think its rate high
+YOUNG = 8  # a front of fewer intervals knows too little to think its rate high
 HISTORY = 20.0  # seconds over which a front's own share of the traffic is averaged: longer than a surge
 LOW = PTERM_MAX / 2  # under this there is room for calls that can no longer earn in full
 IDLE = PTERM_MAX / 4  # a server under this over Wt takes calls that no token is left for: none waits there
@@ -341,7 +341,7 @@
 
     def _tick(self) -> None:
         self.actions.append(i.WakeAfter(self.interval, TICK))
-        weight = self.interval / min(max(self.now - self.began, YOUNG), HISTORY)
+        weight = self.interval / min(max(self.now - self.began, YOUNG * self.interval), HISTORY)
         self.rate += weight * (self.arrivals / self.interval - self.rate)
         self.arrivals = 0
         for name in [s.id for s in self.servers.values() if s.gone and not s.out]:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -361,3 +361,18 @@
         world.after(0.2)
     world.servers(i.ServerEntry("n0", 0, "draining", 1.0, new.started), kind=i.ListKind.CHANGES)
     assert world.sent_to(world.call(0)) == "s0"  # the other way round: nobody is left without a server
+
+
+def test_a_front_is_young_for_some_intervals_whatever_its_aims() -> None:
+    """Three seconds were eight intervals where calls have 1.5 s; where they have 0.4 s, a front held its
+    own traffic for thin until long after its start, and a server that it had shut once stayed eased in."""
+    brisk = i.CallClass("low", aim=0.4, give_up=3.0, worth=1.0)
+    world = World(settings(classes=(brisk,)))
+    world.servers(*entries(0))
+    for _ in range(40):
+        name = world.call(0)
+        world.after(0.01)
+        if world.sent_to(name):
+            world.stand(name)
+        world.after(0.015)
+    assert 25.0 < world.c.rate < 45.0  # of the 40 a second that came
