Keep a line to a server while a call that was set up on it stands

At fault, net/link.py `_look`: a spare line was closed 3 s after its last set-up; a server says the end of a call on the line of its set-up, and what was on its way there never came.

Now every dialog knows its line, and a line is spare once none of its calls stands.

--- a/harepick/net/line.py
+++ b/harepick/net/line.py
@@ -62,6 +62,7 @@
         self.outbox: Outbox[Item] = Outbox()
         self.open: dict[str, Attempt] = {}  # oldest first
         self._crossing: OrderedDict[str, bytes] = OrderedDict()  # given up here -> number called
+        self.calls = 0  # that were set up here and stand
         self.up = False
         self.spoke = False
         self.heard = 0.0  # when it last said anything, or came up
@@ -73,6 +74,12 @@
     def load(self) -> int:
         return len(self.open) + len(self.outbox)
 
+    @property
+    def spare(self) -> bool:
+        """Nothing is lost with it. A server says the end of a call on the line of its set-up: what is on its
+        way when we close that line never comes."""
+        return self.up and not self.load and not self.calls
+
     def quiet(self, now: float) -> bool:
         """What is open on it has gone without a word for some time: the server is slow, or the line dead."""
         first = next(iter(self.open.values()), None)
@@ -173,7 +180,7 @@
             case "BYE":
                 self._count("servers.releases")
                 self._say(sip.response(message, 200, b"OK"))
-                self._link.standing.pop(message.call, None)
+                self._link.over(message.call)
                 await self._word(CallOver(message.call, self._link.server, sip.cause(message) == CUT))
             case "NOTIFY":
                 self._count("servers.notifies")
@@ -217,7 +224,7 @@
             if attempt is not None:  # a refusal waits in no line: it tells nothing of those before it
                 self._link.answered = max(self._link.answered, attempt.sent or 0.0)
             self._count("servers.answers")
-            self._link.stands(call, number)
+            self._link.stands(call, number, self)
             tried = -1 if attempt is None else attempt.number
             await self._word(Answered(call, tried, self._link.server, message.body))
         elif attempt is not None:
@@ -261,7 +268,7 @@
         if isinstance(item, bytes):
             return item
         if isinstance(item, Bye):
-            if dialog := self._link.standing.pop(item.call, None):
+            if dialog := self._link.over(item.call):
                 item.number = dialog.number
             if not item.number:
                 return None  # it ended meanwhile
--- a/harepick/net/link.py
+++ b/harepick/net/link.py
@@ -43,6 +43,7 @@
 
     number: bytes
     since: float
+    line: Line  # of its set-up: its end is told there, if that one is still open
 
 
 class Port(Protocol):
@@ -118,10 +119,18 @@
             line.outbox.put(bye)
         self._unsent.clear()
 
-    def stands(self, call: str, number: bytes) -> None:
-        self.standing[call] = Dialog(number, time.time())
+    def stands(self, call: str, number: bytes, line: Line) -> None:
+        self.over(call)
+        self.standing[call] = Dialog(number, time.time(), line)
+        line.calls += 1
         if len(self.standing) > DIALOGS:
-            self.standing.popitem(last=False)
+            self.over(next(iter(self.standing)))
+
+    def over(self, call: str) -> Dialog | None:
+        """A call no longer stands; None if it did not."""
+        if dialog := self.standing.pop(call, None):
+            dialog.line.calls -= 1
+        return dialog
 
     def ended(self, line: Line) -> None:
         """What was open on it is given up with it; what had not left goes on another, if one comes up."""
@@ -192,7 +201,7 @@
                 line.close("moved")
         elif row.started > 0:  # the process behind older lines is another one
             for call in [c for c, dialog in self.standing.items() if dialog.since < row.started]:
-                del self.standing[call]
+                self.over(call)
             for line in self._lines:
                 if 0 < line.heard < row.started:
                     line.close("half_open")
@@ -208,7 +217,7 @@
         for line in list(self._lines):
             if line.dead(now, self.answered):
                 line.close("dead_lines")
-            elif line.up and not line.load and now - line.heard > SPARE and len(self._lines) > 1:
+            elif line.spare and now - line.heard > SPARE and len(self._lines) > 1:
                 line.close("spare_lines")
                 return  # one at a time: the last stays
         if not self._lines:
@@ -220,7 +229,7 @@
             # are over, and their callers must be told within 8 s: only a new connection shows it.
             self._again = now + (SILENCE if not self._failed else SURE)
             if len(self._lines) >= MOST_LINES:
-                self._lines[0].close("spare_lines")
+                self._lines[0].close("spare_lines")  # silent like the others
             self.port.counters.add("servers.checks")
             self._open()
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -201,6 +201,25 @@
         assert running.counters()["servers.dead_lines"] == 1
 
 
+def test_a_line_is_kept_while_a_call_of_its_set_up_stands() -> None:
+    """Closed as spare, it took along the end of seven calls that was on its way there."""
+    place = peers.Platform()
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        first, second = caller.call(), caller.call()
+        lines = [place.setups[0].accept() for _ in range(2)]
+        asked = [peers.invite(line) for line in lines]
+        for line, what in zip(lines, asked, strict=True):
+            peers.reply(line, what, 200, b"answer")
+        assert {caller.told(call).type for call in (first, second)} == {binary.ANSWER}
+        lines[1].send(sip.bye(b"1", asked[1].call, 7, 16))
+        with pytest.raises(EOFError):  # nothing stands there any more: it goes after a while
+            lines[1].next(lambda _: False)
+        lines[0].send(sip.bye(b"1", asked[0].call, 7, 16))
+        assert {caller.next(lambda m: m.type == binary.RELEASE).call for _ in range(2)} == {first, second}
+        assert running.counters()["calls.ok"] == 2
+
+
 def test_a_spoilt_answer_takes_no_other_set_up_along() -> None:
     place = peers.Platform()
     with place.run() as running:
