Take neither a refusal nor a mere connection for a sign of life

At fault, net/link.py: every connection that came up and every word heard began the count of failures anew; also decide.py, where an error counted as a word of the server since the last change, so that set-ups out at a silent one were not taken back. Ruled out: the looks at a silent server (they were made every 2 s).

Now the count begins anew with an answer, a release or a notice alone.

--- a/harepick/decide.py
+++ b/harepick/decide.py
@@ -296,7 +296,6 @@
         if server and not stood and not busy_line and (lost or no_line or out in FAULTS):
             server.faults += (1.0 - server.faults) / FAULT_MEMORY
         if server and out is i.Outcome.ERROR and not stood and not busy_line:
-            server.spoke(self.now)
             server.errors += (1.0 - server.errors) / FAULT_MEMORY
         if server and out is i.Outcome.FULL and self.sticky == server.id:
             self.sticky = None
--- a/harepick/net/line.py
+++ b/harepick/net/line.py
@@ -152,7 +152,7 @@
                         raise sip.SipError("a message that stops short")
                     late = True
                     continue
-                self.heard = self._link.heard = time.time()
+                self.heard = time.time()
                 late, self.spoke = False, True
                 count = 0
                 for message in decoder.feed(data):
@@ -172,6 +172,9 @@
                 return
 
     async def _take(self, message: sip.Message) -> None:
+        # A refusal is no sign of life: it may come from something in front of a machine that has vanished.
+        if message.status < 300:
+            self._link.heard = self.heard
         if message.status:
             if message.method == "INVITE" and message.status >= 200:
                 await self._answer(message)
--- a/harepick/net/link.py
+++ b/harepick/net/link.py
@@ -62,13 +62,13 @@
         self.server = server
         self.address = where
         self.standing: OrderedDict[str, Dialog] = OrderedDict()
-        self.heard = time.time()  # when anything last came from the server
+        self.heard = time.time()  # when anything but a refusal last came from the server
         self.answered = 0.0  # when the latest set-up answered so far was sent
         self.retired = False
         self._tasks = tasks
         self._lines: list[Line] = []  # oldest first
         self._unsent: list[Bye] = []
-        self._failed = 0.0  # when the first of the latest connections in a row failed; 0: none has
+        self._failed = 0.0  # when a connection first failed since the server last spoke
         self._again = 0.0  # when to connect again for the calls that stand
         self._flaps = 0
         self._scope = anyio.CancelScope()
@@ -114,7 +114,6 @@
     # What lines tell
 
     def came_up(self, line: Line) -> None:
-        self._failed = 0.0
         for bye in self._unsent:
             line.outbox.put(bye)
         self._unsent.clear()
@@ -172,11 +171,14 @@
         now = time.time()
         if any(line.up for line in self._lines) and now - self.heard < SILENCE:
             return  # it may take no more connections, but it lives
-        if not self._failed or now - self._failed < SURE:
-            self._failed = self._failed or now
+        # Counted since it last spoke: the kernel of a machine whose processes are gone may still take a few
+        # connections, so that one that comes up proves nothing.
+        first = self._failed <= self.heard
+        if first or now - self._failed < SURE:
+            self._failed = now if first else self._failed
             self._again = now + SURE
             return
-        if self.standing or self._lines:
+        if self.standing:
             self.port.counters.add("servers.died")
             self.port.log.event("died", server=self.server, standing=len(self.standing))
         self.standing.clear()
@@ -227,7 +229,7 @@
         elif self._busy and now - self.heard >= SILENCE and now >= self._again:
             # A machine that has vanished says nothing, resets nothing and takes no new connection. Its calls
             # are over, and their callers must be told within 8 s: only a new connection shows it.
-            self._again = now + (SILENCE if not self._failed else SURE)
+            self._again = now + (SILENCE if self._failed <= self.heard else SURE)
             if len(self._lines) >= MOST_LINES:
                 self._lines[0].close("spare_lines")  # silent like the others
             self.port.counters.add("servers.checks")
