Bound the connections to all setup servers together to a quarter of the descriptors

A server that has a line gets another only while there is room; with none, set-ups share the lines that are there.

--- a/harepick/net/link.py
+++ b/harepick/net/link.py
@@ -55,6 +55,10 @@
     connect_timeout: float
     idle_close: float
 
+    @property
+    def room(self) -> bool:
+        """Whether a server that has a line may have another."""
+
 
 class Link:
     def __init__(self, port: Port, tasks: TaskGroup, server: str, where: Address) -> None:
@@ -73,6 +77,10 @@
         self._flaps = 0
         self._scope = anyio.CancelScope()
 
+    @property
+    def lines(self) -> int:
+        return len(self._lines)
+
     @property
     def backlog(self) -> int:
         return sum(len(line.outbox) for line in self._lines if line.up)
@@ -101,7 +109,8 @@
             return max(free, key=lambda line: line.heard).outbox.put(item)
         if isinstance(item, Bye) and sound:
             return min(sound, key=lambda line: line.load).outbox.put(item)
-        if len(sound) < LINES and len(self._lines) < MOST_LINES:
+        more = len(sound) < LINES and len(self._lines) < MOST_LINES and self.port.room
+        if more or not self._lines:
             self._open(item)
             return True
         return min(sound or self._lines, key=lambda line: line.load).outbox.put(item)
@@ -230,7 +239,7 @@
             # A machine that has vanished says nothing, resets nothing and takes no new connection. Its calls
             # are over, and their callers must be told within 8 s: only a new connection shows it.
             self._again = now + (SILENCE if self._failed <= self.heard else SURE)
-            if len(self._lines) >= MOST_LINES:
+            if len(self._lines) >= MOST_LINES or not self.port.room:
                 self._lines[0].close("spare_lines")  # silent like the others
             self.port.counters.add("servers.checks")
             self._open()
--- a/harepick/net/servers.py
+++ b/harepick/net/servers.py
@@ -27,6 +27,7 @@
         log: Log,
         connect_timeout: float,
         idle_close: float,
+        most_lines: int,
     ) -> None:
         self.directory = directory
         self.inbox = inbox
@@ -34,6 +35,7 @@
         self.log = log
         self.connect_timeout = connect_timeout
         self.idle_close = idle_close
+        self._most_lines = most_lines
         self._links: dict[str, Link] = {}
         self._tasks: TaskGroup | None = None
 
@@ -44,6 +46,10 @@
             task_status.started()
             await anyio.sleep_forever()
 
+    @property
+    def room(self) -> bool:
+        return sum(link.lines for link in self._links.values()) < self._most_lines
+
     @property
     def unwritten(self) -> int:
         return sum(link.backlog for link in self._links.values())
--- a/harepick/net/service.py
+++ b/harepick/net/service.py
@@ -64,7 +64,15 @@
         config, counters, log = self._config, self._counters, self._log
         module = config.settings
         inbox, directory = Inbox(), self._directory
-        servers = Servers(directory, inbox, counters, log, module.connect_timeout, config.idle_close)
+        servers = Servers(
+            directory,
+            inbox,
+            counters,
+            log,
+            module.connect_timeout,
+            config.idle_close,
+            most_lines=config.sockets // 4,
+        )
         engine = Engine(module, config.seed, servers, inbox, counters, log, config.open_cap)
         callers = Callers(module.classes, inbox, counters, log, most=config.sockets // 2)
         bus = self._bus = Bus(config.bus, directory, inbox, servers, counters, log)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from harepick.core.inbox import Inbox
+from harepick.core.words import Attempt
 from harepick.counters import Counters
 from harepick.log import Log
 from harepick.net import sip
@@ -33,6 +34,7 @@
         self.log = Log(fd=1)
         self.connect_timeout = 0.5
         self.idle_close = 600.0
+        self.room = True
 
 
 def link() -> tuple[Link, Owner, Line]:
@@ -79,3 +81,11 @@
     time.sleep(SURE + 0.01)
     made._failure()
     assert owner.counters["servers.died"] == 1
+
+
+async def test_without_room_for_another_line_set_ups_share_one() -> None:
+    made, owner, line = link()
+    owner.room = False
+    for call in ("c2", "c3", "c4"):
+        assert made.place(Attempt(call, 0, "s0", 0.0, 1.0, None, lambda attempt, now: True))
+    assert made.lines == 1 and line.load == 3
