--- /dev/null
+++ b/harepick/store/machine.py
@@ -0,0 +1,243 @@
+"""The replicated state: configuration as numbered revisions, clients' sessions, and the pool view. Pure.
+
+Every replica applies the same entries in the same order and comes to the same state; nothing here may depend on
+a clock, on chance or on who applies it. Times in it were written by whoever proposed, and decide nothing.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import msgspec
+from msgspec import Struct
+
+FORMAT = 1  # of entries and snapshots; first byte of each
+MOST_SESSIONS = 4_096  # the one that was silent for longest is forgotten
+MOST_REVISIONS = 500
+MOST_HISTORY = 8 * 1024 * 1024  # bytes of all revisions' texts
+MOST_TEXT = 256 * 1024  # bytes of one configuration
+MOST_ROWS = 256  # rows of one instance's view
+MOST_VIEWS = 64  # instances whose view is kept
+
+
+class FormatError(Exception):
+    """An entry or snapshot that this version does not know: acting on would be guessing."""
+
+
+# Commands
+
+
+class Put(Struct, frozen=True, tag="put"):
+    """A whole new configuration, if `expect` (a revision's number, or None) is still the latest."""
+
+    text: str
+    expect: int | None = None
+    author: str = ""
+    note: str = ""
+    at: float = 0.0
+
+
+class RollBack(Struct, frozen=True, tag="rollback"):
+    """The text of an earlier revision, as a new one."""
+
+    to: int
+    expect: int | None = None
+    author: str = ""
+    note: str = ""
+    at: float = 0.0
+
+
+class ViewRow(Struct, frozen=True, array_like=True):
+    """What an instance knew of one server."""
+
+    server: str
+    number: int
+    state: str  # ready, draining or gone
+    size: float = 1.0
+    started: float = 0.0
+    zone: str = ""
+    address: str = ""
+
+
+class View(Struct, frozen=True, tag="view"):
+    """The pool as one instance knew it last."""
+
+    instance: str
+    rows: tuple[ViewRow, ...]
+    offset: int = 0  # of the last event heard, where there is a bus
+    at: float = 0.0
+
+
+Command = Put | RollBack | View
+
+
+class Envelope(Struct, frozen=True):
+    """A command of a client's session; `number` rises by one with each, and a repeat keeps its own."""
+
+    session: str
+    number: int
+    body: Command
+
+
+# Results
+
+
+class Done(Struct, frozen=True, tag="done"):
+    revision: int
+    index: int
+
+
+class Conflict(Struct, frozen=True, tag="conflict"):
+    """Another change came first."""
+
+    expected: int
+    latest: int
+
+
+class Refused(Struct, frozen=True, tag="refused"):
+    why: str
+
+
+Result = Done | Conflict | Refused
+
+
+class Revision(Struct, frozen=True):
+    number: int
+    text: str
+    author: str
+    note: str
+    at: float
+    index: int  # of its entry
+
+
+class Session(Struct):
+    number: int
+    result: Result
+
+
+class State(Struct):
+    """All that a snapshot holds."""
+
+    applied: int = 0
+    revisions: list[Revision] = msgspec.field(default_factory=list)
+    sessions: list[tuple[str, Session]] = msgspec.field(default_factory=list)
+    views: dict[str, View] = msgspec.field(default_factory=dict)
+
+
+_envelope = msgspec.msgpack.Decoder(Envelope)
+_state = msgspec.msgpack.Decoder(State)
+
+
+def encode(envelope: Envelope) -> bytes:
+    return bytes([FORMAT]) + msgspec.msgpack.encode(envelope)
+
+
+def decode(data: bytes) -> Envelope:
+    if not data or data[0] != FORMAT:
+        raise FormatError(f"entry of format {data[0] if data else None}; this version knows {FORMAT}")
+    try:
+        return _envelope.decode(memoryview(data)[1:])
+    except (msgspec.DecodeError, ValueError) as error:
+        raise FormatError(f"entry of format {FORMAT} that can't be read: {error}") from None
+
+
+class Machine:
+    """Owns the state; `apply` is the one way to change it."""
+
+    def __init__(self) -> None:
+        self.applied = 0  # index of the last entry
+        self._revisions: OrderedDict[int, Revision] = OrderedDict()
+        self._history = 0  # bytes of their texts
+        self._sessions: OrderedDict[str, Session] = OrderedDict()
+        self.views: dict[str, View] = {}
+
+    @property
+    def latest(self) -> Revision | None:
+        return next(reversed(self._revisions.values()), None)
+
+    def revision(self, number: int) -> Revision | None:
+        return self._revisions.get(number)
+
+    def history(self, most: int = MOST_REVISIONS) -> list[Revision]:
+        """The latest first."""
+        return list(reversed(self._revisions.values()))[:most]
+
+    def repeated(self, session: str, number: int) -> Result | None:
+        """The result of a request that was applied before."""
+        known = self._sessions.get(session)
+        return known.result if known and known.number == number else None
+
+    def apply(self, index: int, data: bytes) -> Result:
+        """Raises `FormatError`, changing nothing."""
+        assert index > self.applied, (index, self.applied)
+        envelope = decode(data)
+        self.applied = index
+        known = self._sessions.get(envelope.session) if envelope.session else None
+        if known and envelope.number <= known.number:
+            if envelope.number == known.number:
+                return known.result
+            return Refused(f"request {envelope.number} of this session is older than {known.number}")
+        result = self._carry_out(index, envelope.body)
+        if envelope.session:
+            self._sessions[envelope.session] = Session(envelope.number, result)
+            self._sessions.move_to_end(envelope.session)
+            while len(self._sessions) > MOST_SESSIONS:
+                self._sessions.popitem(last=False)
+        return result
+
+    def skip(self, index: int) -> None:
+        """An entry that is none of the machine's."""
+        self.applied = index
+
+    def _carry_out(self, index: int, command: Command) -> Result:
+        match command:
+            case Put(text, expect, author, note, at):
+                return self._put(index, text, expect, author, note, at)
+            case RollBack(to, expect, author, note, at):
+                old = self._revisions.get(to)
+                if old is None:
+                    return Refused(f"revision {to} is not kept")
+                return self._put(index, old.text, expect, author, note or f"rollback to {to}", at)
+            case View():
+                if len(command.rows) > MOST_ROWS:
+                    return Refused(f"a view has {MOST_ROWS} rows at most")
+                self.views.pop(command.instance, None)
+                self.views[command.instance] = command
+                while len(self.views) > MOST_VIEWS:
+                    del self.views[next(iter(self.views))]
+                return Done(self.latest.number if self.latest else 0, index)
+
+    def _put(self, index: int, text: str, expect: int | None, author: str, note: str, at: float) -> Result:
+        latest = self.latest.number if self.latest else 0
+        if expect is not None and expect != latest:
+            return Conflict(expect, latest)
+        if len(text) > MOST_TEXT:
+            return Refused(f"a configuration has {MOST_TEXT} characters at most")
+        self._keep(Revision(latest + 1, text, author, note, at, index))
+        return Done(latest + 1, index)
+
+    def _keep(self, revision: Revision) -> None:
+        self._revisions[revision.number] = revision
+        self._history += len(revision.text)
+        while len(self._revisions) > MOST_REVISIONS or (
+            self._history > MOST_HISTORY and len(self._revisions) > 1
+        ):
+            self._history -= len(self._revisions.popitem(last=False)[1].text)
+
+    def snapshot(self) -> bytes:
+        state = State(self.applied, list(self._revisions.values()), list(self._sessions.items()), self.views)
+        return bytes([FORMAT]) + msgspec.msgpack.encode(state)
+
+    def restore(self, data: bytes) -> None:
+        """Takes a snapshot's state over; raises `FormatError`, changing nothing."""
+        if not data or data[0] != FORMAT:
+            raise FormatError(f"snapshot of format {data[0] if data else None}; this version knows {FORMAT}")
+        try:
+            state = _state.decode(memoryview(data)[1:])
+        except (msgspec.DecodeError, ValueError) as error:
+            raise FormatError(f"snapshot of format {FORMAT} that can't be read: {error}") from None
+        self.applied = state.applied
+        self._revisions = OrderedDict((r.number, r) for r in state.revisions)
+        self._history = sum(len(r.text) for r in state.revisions)
+        self._sessions = OrderedDict(state.sessions)
+        self.views = state.views
--- /dev/null
+++ b/harepick/store/node.py
@@ -0,0 +1,398 @@
+"""One replica without its host: consensus, state machine and fencing put together. Pure, as its parts are.
+
+The real host is `replica.py`; the seeded world of `benchmarks/store_model.py` is another. Both do the same: feed
+`tick`, `receive` and requests with their time, call `poll`, carry out `outbox`, `writes` and `answers`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from msgspec import Struct
+
+from harepick.store.fence import LEASE, Grants, Lease
+from harepick.store.machine import Done, Envelope, FormatError, Machine, Put, Result, Revision, RollBack, encode
+from harepick.store.raft.core import BusyError, NotLeaderError, Raft, Role, Writes
+from harepick.store.raft.messages import Entry, HardState, Kind, Message, Snapshot
+
+RENEW = 0.27  # share of a lease after which the next is asked for
+SNAPSHOT_EVERY = 10_000  # entries
+MOST_WAITERS = 4_096
+
+
+class Ask(Struct, frozen=True, tag="q", array_like=True):
+    """An instance asks the leader for its lease, and tells how far it has applied."""
+
+    number: int
+    applied: int
+
+
+class Grant(Struct, frozen=True, tag="g", array_like=True):
+    number: int
+    index: int  # to be applied before the lease counts
+
+
+class Adopted(Struct, frozen=True, tag="d", array_like=True):
+    """The sender acts on nothing older than this index any more."""
+
+    index: int
+
+
+class Propose(Struct, frozen=True, tag="p", array_like=True):
+    """A command for the leader that nobody waits for."""
+
+    data: bytes
+
+
+PeerMessage = Message | Ask | Grant | Adopted | Propose
+
+
+class Lost(Struct, frozen=True):
+    """Leadership went while a request waited: whether it took effect is not known. Ask again, same number."""
+
+
+Waiter = object
+Answer = Result | Lost | int  # int: the index that a confirmed read may be answered at
+
+
+@dataclass(slots=True)
+class _Change:
+    term: int
+    waiter: Waiter
+
+
+@dataclass(slots=True)
+class _Read:
+    """A client's read."""
+
+    waiter: Waiter
+
+
+@dataclass(slots=True)
+class _LeaseRead:
+    """The confirmation that a lease waits for."""
+
+    instance: str
+    number: int
+
+
+@dataclass(slots=True)
+class _Membership:
+    """An answer with the index alone, once the change of members is committed."""
+
+    waiter: Waiter
+
+
+@dataclass
+class Told:
+    """What `poll` hands to the host."""
+
+    outbox: list[tuple[str, PeerMessage]] = field(default_factory=list)
+    answers: list[tuple[Waiter, Answer]] = field(default_factory=list)
+
+
+class Node:
+    def __init__(
+        self,
+        name: str,
+        rng: Random,
+        hard: HardState,
+        snapshot: Snapshot,
+        entries: Iterable[Entry],
+        now: float,
+        *,
+        lease: float = LEASE,
+        adopt: Callable[[Revision], None] = lambda revision: None,
+        snapshot_every: int = SNAPSHOT_EVERY,
+        raft: type[Raft] = Raft,
+    ) -> None:
+        """`adopt` is called in the moment a revision takes effect: on return, nothing older is acted on.
+
+        Raises `FormatError` for a state of another version."""
+        self.name = name
+        self.machine = Machine()
+        if snapshot.data:
+            self.machine.restore(snapshot.data)
+        self.raft = raft(name, rng, hard, snapshot, entries)
+        self.lease = Lease(lease)
+        self.grants = Grants(lease)
+        self.stopped = ""  # why it takes part in nothing any more
+        self._adopt = adopt
+        self._revision = 0  # adopted last
+        self._snapshot_every = snapshot_every
+        self._snapshotting = False
+        self._changes: dict[int, _Change | _Membership] = {}
+        self._unacknowledged: list[tuple[int, Waiter, Result]] = []  # index that must be adopted by all
+        self._reads: list[tuple[int, _Read]] = []  # confirmed, and not applied so far here
+        self._leading = 0  # the term in which `grants` was told that we lead
+        self._next_ask = now
+        self._out: list[tuple[str, PeerMessage]] = []
+        self._answers: list[tuple[Waiter, Answer]] = []
+        self._apply()  # a single replica's commit comes with its election; a snapshot's state is there now
+
+    # What can be asked
+
+    def may_act(self, now: float) -> bool:
+        """The last look before something leaves that rests on the configuration."""
+        return not self.stopped and self.lease.holds(now)
+
+    @property
+    def revision(self) -> Revision | None:
+        return self.machine.latest
+
+    # Inputs
+
+    def tick(self, now: float) -> None:
+        if self.stopped:
+            return
+        self.raft.tick()
+        self._lead(now)
+        if now >= self._next_ask:
+            self._ask(now)
+
+    def receive(self, sender: str, message: PeerMessage, now: float) -> None:
+        if self.stopped:
+            return
+        match message:
+            case Ask(number, applied):
+                self._asked(sender, number, applied, now)
+            case Grant(number, index):
+                self.lease.granted(number, index)
+            case Adopted(index):
+                self.grants.adopted(sender, index)
+            case Propose(data):
+                if self.raft.role is Role.LEADER:
+                    try:
+                        self.raft.propose(data)
+                    except BusyError:
+                        pass  # nobody waits for it; it comes again
+            case _:
+                self.raft.step(sender, message)
+        self._lead(now)
+
+    def change(self, envelope: Envelope, waiter: Waiter) -> None:
+        """Answered once it is committed, applied, and adopted by all who may act."""
+        if len(self._changes) + len(self._unacknowledged) >= MOST_WAITERS:
+            raise BusyError("too many changes wait")
+        index, term = self.raft.propose(encode(envelope))
+        self._changes[index] = _Change(term, waiter)
+
+    def suggest(self, envelope: Envelope) -> None:
+        """A command that nobody waits for, to whoever leads; lost if nobody does."""
+        data = encode(envelope)
+        if self.raft.role is Role.LEADER:
+            try:
+                self.raft.propose(data)
+            except BusyError:
+                return
+        elif self.raft.leader:
+            self._out.append((self.raft.leader, Propose(data)))
+
+    def read(self, waiter: Waiter) -> None:
+        """Answered with an index once the state here is no older than the question."""
+        self.raft.read(_Read(waiter))
+
+    def add(self, name: str, address: str, waiter: Waiter) -> None:
+        index, _ = self.raft.add(name, address)
+        self._changes[index] = _Membership(waiter)
+
+    def remove(self, name: str, waiter: Waiter) -> None:
+        index, _ = self.raft.remove(name)
+        self._changes[index] = _Membership(waiter)
+
+    def stop(self, why: str) -> None:
+        """Steps aside: acts on nothing, votes for nobody, says why."""
+        self.stopped = why
+        self.lease.drop()
+        self.grants.follow()
+        self._lose_all()
+
+    # Outputs
+
+    def poll(self, now: float) -> Told:
+        """After every turn of inputs, and after `written`."""
+        if not self.stopped:
+            self.raft.flush()
+            self._lead(now)
+            self._restore()
+            self._apply()
+            self._serve_reads()
+            self._acknowledge(now)
+        told = Told(self._out + list(self.raft.outbox), self._answers)
+        self._out, self._answers = [], []
+        self.raft.outbox.clear()
+        return told
+
+    def writes(self) -> Writes:
+        return Writes() if self.stopped else self.raft.writes()
+
+    def written(self, writes: Writes, now: float) -> None:
+        if not self.stopped:
+            self.raft.written(writes)
+            self._lead(now)
+
+    def snapshot_due(self) -> Snapshot | None:
+        """A snapshot to be made durable, if it is time; `compacted` follows."""
+        enough = self.machine.applied - self.raft.snapshot.index >= self._snapshot_every
+        return self.take_snapshot() if enough else None
+
+    def take_snapshot(self) -> Snapshot | None:
+        if self._snapshotting or self.stopped or self.machine.applied <= self.raft.snapshot.index:
+            return None
+        self._snapshotting = True
+        return self.raft.compact(self.machine.applied, self.machine.snapshot())
+
+    def compacted(self, snapshot: Snapshot) -> None:
+        self._snapshotting = False
+        self.raft.compacted(snapshot)
+
+    def next_look(self, now: float) -> float:
+        """When an acknowledgement may come due by time alone."""
+        return self.grants.next_look(now, (index for index, *_ in self._unacknowledged))
+
+    # Leases
+
+    def _ask(self, now: float) -> None:
+        self._next_ask = now + self.lease.length * RENEW
+        leader = self.raft.leader
+        if leader == self.name and self.raft.role is Role.LEADER:
+            self._asked(self.name, self.lease.ask(now), self.machine.applied, now)
+        elif leader:
+            self._out.append((leader, Ask(self.lease.ask(now), self.machine.applied)))
+        else:
+            self._next_ask = now  # with the first tick that knows a leader
+
+    def _asked(self, sender: str, number: int, applied: int, now: float) -> None:
+        if self.raft.role is not Role.LEADER or not self.raft.membership.get(sender):
+            return
+        self._lead(now)
+        self.grants.adopted(sender, applied)
+        self.grants.book(sender, now)  # before the quorum is asked
+        try:
+            self.raft.read(_LeaseRead(sender, number))
+        except BusyError:
+            pass  # it asks again
+
+    def _lead(self, now: float) -> None:
+        """Follows the consensus core into leadership and out of it."""
+        if self.raft.role is Role.LEADER:
+            if self._leading != self.raft.term:
+                self._lose_all()
+                self._leading = self.raft.term
+                self.grants.lead(now)
+                self._next_ask = now
+        elif self._leading:
+            self._leading = 0
+            self.grants.follow()
+            self._lose_all()
+            self._next_ask = now
+        for token in self.raft.dropped:
+            if isinstance(token, _Read):
+                self._answers.append((token.waiter, Lost()))
+        self.raft.dropped.clear()
+
+    def _lose_all(self) -> None:
+        for change in self._changes.values():
+            self._answers.append((change.waiter, Lost()))
+        for _, waiter, _ in self._unacknowledged:
+            self._answers.append((waiter, Lost()))
+        self._changes.clear()
+        self._unacknowledged.clear()
+
+    # Entries
+
+    def _restore(self) -> None:
+        snapshot = self.raft.restored
+        if snapshot is None:
+            return
+        self.raft.restored = None
+        if snapshot.index <= self.machine.applied:
+            return
+        try:
+            if snapshot.data:
+                self.machine.restore(snapshot.data)
+        except FormatError as error:
+            self.stop(str(error))
+            return
+        self.machine.skip(snapshot.index)
+        self._after_apply()
+
+    def _apply(self) -> None:
+        while not self.stopped and (entries := self.raft.committed()):
+            for entry in entries:
+                self._apply_one(entry)
+                if self.stopped:
+                    return
+        if not self.stopped:
+            self._after_apply()
+
+    def _apply_one(self, entry: Entry) -> None:
+        change = self._changes.pop(entry.index, None)
+        if entry.kind != Kind.COMMAND:
+            self.machine.skip(entry.index)
+            if isinstance(change, _Membership):
+                self._answers.append((change.waiter, entry.index))
+            return
+        try:
+            result = self.machine.apply(entry.index, entry.data)
+        except FormatError as error:
+            self.stop(f"entry {entry.index}: {error}")
+            return
+        if change is None:
+            return
+        if isinstance(change, _Membership) or change.term != entry.term:
+            self._answers.append((change.waiter, Lost()))
+        elif isinstance(result, Done):
+            # A repeated request's result names its first entry, and that is long adopted: waiting for this
+            # one costs nothing more.
+            self._unacknowledged.append((entry.index, change.waiter, result))
+        else:
+            self._answers.append((change.waiter, result))
+
+    def _after_apply(self) -> None:
+        """A new revision takes effect here, and the leader hears of it."""
+        latest = self.machine.latest
+        if latest and latest.number != self._revision:
+            self._revision = latest.number
+            self._adopt(latest)
+            if self.raft.leader and self.raft.leader != self.name:
+                self._out.append((self.raft.leader, Adopted(self.machine.applied)))
+        self.lease.applied(self.machine.applied)
+        self.grants.adopted(self.name, self.machine.applied)
+
+    def _acknowledge(self, now: float) -> None:
+        kept = []
+        for index, waiter, result in self._unacknowledged:
+            if self.grants.waits_for(index, now):
+                kept.append((index, waiter, result))
+            else:
+                self._answers.append((waiter, result))
+        self._unacknowledged = kept
+
+    def _serve_reads(self) -> None:
+        for token, index in self.raft.reads:
+            if isinstance(token, _LeaseRead):
+                if token.instance == self.name:
+                    self.lease.granted(token.number, index)
+                else:
+                    self._out.append((token.instance, Grant(token.number, index)))
+            elif isinstance(token, _Read):
+                self._reads.append((index, token))
+        self.raft.reads.clear()
+        waiting = []
+        for index, read in self._reads:
+            if self.machine.applied >= index:
+                self._answers.append((read.waiter, index))
+            else:
+                waiting.append((index, read))
+        self._reads = waiting
+
+
+def is_change(envelope: Envelope) -> bool:
+    """Whether the command makes a new revision."""
+    return isinstance(envelope.body, Put | RollBack)
+
+
+__all__ = ["Adopted", "Answer", "Ask", "Grant", "Lost", "Node", "NotLeaderError", "PeerMessage", "Propose", "Told"]
