--- a/benchmarks/faultyfiles.py
+++ b/benchmarks/faultyfiles.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from random import Random
 
-from harepick.store.disk.files import Handle, Locked
+from harepick.store.disk.files import Handle, LockedError
 
 
 class Crash(BaseException):
@@ -48,7 +48,8 @@
             self._files.operation("sync", lambda: None)
             raise OSError(errno.EIO, "Input/output error")
         self._files.operation("sync", lambda: None)
-        self._file.durable, self._file.pending = self._file.data, []
+        if not self._files.lying_sync:
+            self._file.durable, self._file.pending = self._file.data, []
 
     def close(self) -> None:
         pass
@@ -125,7 +126,7 @@
 
     def lock(self) -> None:
         if self.locked:
-            raise Locked("folder memory is in use by another process")
+            raise LockedError("folder memory is in use by another process")
         self.locked = True
 
     def close(self) -> None:
--- a/harepick/store/disk/files.py
+++ b/harepick/store/disk/files.py
@@ -12,7 +12,7 @@
     """The folder can't be used as it is; the text names file and place."""
 
 
-class Locked(StorageError):
+class LockedError(StorageError):
     """Another process works in this folder."""
 
 
@@ -47,7 +47,7 @@
     def sync_folder(self) -> None: ...
 
     def lock(self) -> None:
-        """For this process alone, until it ends; raises `Locked`."""
+        """For this process alone, until it ends; raises `LockedError`."""
 
     def close(self) -> None: ...
 
@@ -115,7 +115,7 @@
             fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             os.close(fd)
-            raise Locked(f"folder {self.folder} is in use by another process") from None
+            raise LockedError(f"folder {self.folder} is in use by another process") from None
         self._lock = fd
 
     def close(self) -> None:
--- a/harepick/store/disk/frames.py
+++ b/harepick/store/disk/frames.py
@@ -1,12 +1,12 @@
 """The bytes of a segment: frames, each what one fsync covers, of records with a checksum of their own.
 
     segment = header, then frames
-    frame   = magic(2) kind(1) 0(1) length(4) number(8) crc32c(4) payload     crc over kind, length, number, payload
+    frame   = magic(2) kind(1) 0(1) length(4) number(8) crc32c(4) payload     crc over all but itself
     record  = kind(1) 0(3) length(4) index(8) term(8) crc32c(4) data          crc over all but itself
 
-The checksums of headers and frames start from the folder's own seed, so that nobody who has text stored can make
-it look like a frame. Frames are numbered without a gap over all segments. A mark is a frame without payload, written after the fsync of
-the frame whose number it bears, and never waited for. Little-endian.
+The checksums of headers and frames start from the folder's own seed, so that nobody who has text stored can
+make it look like a frame. Frames are numbered without a gap over all segments. A mark is a frame without
+payload, written after the fsync of the frame whose number it bears, and never waited for. Little-endian.
 """
 
 from __future__ import annotations
@@ -70,8 +70,8 @@
 
 
 def frame(seed: int, kind: int, number: int, payload: bytes = b"") -> bytes:
-    head = struct.pack("<BIQ", kind, len(payload), number)
-    return FRAME.pack(MAGIC, kind, len(payload), number, checksum(head, payload, seed=seed)) + payload
+    head = FRAME.pack(MAGIC, kind, len(payload), number, 0)[:-4]
+    return head + checksum(head, payload, seed=seed).to_bytes(4, "little") + payload
 
 
 def frame_at(seed: int, data: bytes, offset: int) -> Frame | None:
@@ -83,10 +83,7 @@
         return None
     start = offset + FRAME.size
     payload = data[start : start + length]
-    if (
-        len(payload) != length
-        or checksum(struct.pack("<BIQ", kind, length, number), payload, seed=seed) != crc
-    ):
+    if len(payload) != length or checksum(data[offset : start - 4], payload, seed=seed) != crc:
         return None
     return Frame(kind, number, offset, payload)
 
--- a/harepick/store/disk/storage.py
+++ b/harepick/store/disk/storage.py
@@ -1,12 +1,14 @@
 """One replica's folder: what it has promised, and survives a crash at any point.
 
-Owns segments (`log-N`), snapshots (`snap-INDEX`), the identity, the pins of other replicas, and the lock. What is
-read back at the start was durable; a torn tail is cut and told; anything else that is damaged refuses the start.
-After one failed write or fsync nothing more is written: what the disk holds is then unknown.
+Owns segments (`log-N`), snapshots (`snap-INDEX`), the identity, the pins of other replicas, and the lock.
+What is read back at the start was durable; a torn tail is cut and told; anything else that is damaged
+refuses the start. After one failed write or fsync nothing more is written: what the disk holds is then
+unknown.
 """
 
 from __future__ import annotations
 
+import itertools
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -191,7 +193,7 @@
     def _read_segments(self, names: list[str], found: Recovered) -> frames.Reset | None:
         """Fills `found`; a reset that a crash kept from the log, and is to be written now."""
         numbers = sorted(int(n[4:]) for n in names if n.startswith("log-") and n[4:].isdigit())
-        for before, after in zip(numbers, numbers[1:], strict=False):
+        for before, after in itertools.pairwise(numbers):
             if after != before + 1:
                 raise StorageError(f"log-{before + 1:020}: the segment is missing")
         entries: list[Entry] = []
@@ -315,7 +317,8 @@
     def write(self, hard: HardState | None, entries: tuple[Entry, ...], installed: Snapshot | None) -> None:
         """All of it is durable on return; `installed` is a snapshot that takes the place of the whole log.
 
-        After an `OSError` the storage takes nothing any more: what a failed fsync left on the disk is unknown."""
+        After an `OSError` the storage takes nothing any more: what a failed fsync left on the disk is
+        unknown."""
         self._guarded(lambda: self._write(hard, entries, installed))
 
     def save(self, snapshot: Snapshot) -> None:
--- a/harepick/store/fence.py
+++ b/harepick/store/fence.py
@@ -1,7 +1,7 @@
 """Fencing: who may act on the configuration it holds, and when a change may be acknowledged. Pure.
 
-Times are seconds on the caller's own clock, of which only the rate counts. `Lease` is an instance's side, `Grants`
-the leader's. The argument that the two together hold is in `docs/design/store.md`.
+Times are seconds on the caller's own clock, of which only the rate counts. `Lease` is an instance's side,
+`Grants` the leader's. The argument that the two together hold is in `docs/design/store.md`.
 """
 
 from __future__ import annotations
@@ -16,10 +16,13 @@
 class Lease:
     """An instance's right to act, from its question's time on, once it has applied what it was told to."""
 
-    def __init__(self, length: float = LEASE) -> None:
+    def __init__(self, length: float = LEASE, first: int = 0) -> None:
+        """`first` numbers the first question, and has to be drawn anew by each process: a grant that an
+        earlier one asked for may still be on its way, and must not pass for an answer to this one's
+        question."""
         self.length = length
         self._asked: dict[int, float] = {}  # number -> when
-        self._number = 0
+        self._number = first
         self._granted: list[tuple[float, int]] = []  # until, and the index that must be applied
         self._until = float("-inf")
         self._applied = 0
--- a/harepick/store/machine.py
+++ b/harepick/store/machine.py
@@ -1,7 +1,7 @@
 """The replicated state: configuration as numbered revisions, clients' sessions, and the pool view. Pure.
 
-Every replica applies the same entries in the same order and comes to the same state; nothing here may depend on
-a clock, on chance or on who applies it. Times in it were written by whoever proposed, and decide nothing.
+Every replica applies the same entries in the same order and comes to the same state; nothing here may depend
+on a clock, on chance or on who applies it. Times in it were written by whoever proposed, and decide nothing.
 """
 
 from __future__ import annotations
--- a/harepick/store/node.py
+++ b/harepick/store/node.py
@@ -1,19 +1,30 @@
 """One replica without its host: consensus, state machine and fencing put together. Pure, as its parts are.
 
-The real host is `replica.py`; the seeded world of `benchmarks/store_model.py` is another. Both do the same: feed
-`tick`, `receive` and requests with their time, call `poll`, carry out `outbox`, `writes` and `answers`.
+The real host is `replica.py`; the seeded world of `benchmarks/store_model.py` is another. Both do the same:
+feed `tick`, `receive` and requests with their time, call `poll`, carry out `outbox`, `writes` and `answers`.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
 
 from msgspec import Struct
 
 from harepick.store.fence import LEASE, Grants, Lease
-from harepick.store.machine import Done, Envelope, FormatError, Machine, Put, Result, Revision, RollBack, encode
+from harepick.store.machine import (
+    Done,
+    Envelope,
+    FormatError,
+    Machine,
+    Put,
+    Result,
+    Revision,
+    RollBack,
+    encode,
+)
 from harepick.store.raft.core import BusyError, NotLeaderError, Raft, Role, Writes
 from harepick.store.raft.messages import Entry, HardState, Kind, Message, Snapshot
 
@@ -116,7 +127,7 @@
         if snapshot.data:
             self.machine.restore(snapshot.data)
         self.raft = raft(name, rng, hard, snapshot, entries)
-        self.lease = Lease(lease)
+        self.lease = Lease(lease, rng.getrandbits(62))
         self.grants = Grants(lease)
         self.stopped = ""  # why it takes part in nothing any more
         self._adopt = adopt
@@ -164,10 +175,8 @@
                 self.grants.adopted(sender, index)
             case Propose(data):
                 if self.raft.role is Role.LEADER:
-                    try:
+                    with suppress(BusyError):  # nobody waits for it; it comes again
                         self.raft.propose(data)
-                    except BusyError:
-                        pass  # nobody waits for it; it comes again
             case _:
                 self.raft.step(sender, message)
         self._lead(now)
@@ -270,10 +279,8 @@
         self._lead(now)
         self.grants.adopted(sender, applied)
         self.grants.book(sender, now)  # before the quorum is asked
-        try:
+        with suppress(BusyError):  # it asks again
             self.raft.read(_LeaseRead(sender, number))
-        except BusyError:
-            pass  # it asks again
 
     def _lead(self, now: float) -> None:
         """Follows the consensus core into leadership and out of it."""
@@ -395,4 +402,15 @@
     return isinstance(envelope.body, Put | RollBack)
 
 
-__all__ = ["Adopted", "Answer", "Ask", "Grant", "Lost", "Node", "NotLeaderError", "PeerMessage", "Propose", "Told"]
+__all__ = [
+    "Adopted",
+    "Answer",
+    "Ask",
+    "Grant",
+    "Lost",
+    "Node",
+    "NotLeaderError",
+    "PeerMessage",
+    "Propose",
+    "Told",
+]
--- a/harepick/store/raft/core.py
+++ b/harepick/store/raft/core.py
@@ -1,8 +1,10 @@
-"""The consensus core of one replica: `step`, `tick`, `propose` in; messages, writes and committed entries out.
+"""The consensus core of one replica: `step`, `tick`, `propose` in; messages, writes and committed entries
+out.
 
-Pure: time is counted in ticks that the host gives, chance comes from the `Random` handed in. The host's duties:
-call `flush` after each turn of inputs; send `outbox` at once; have `writes()` made durable, one after another, and
-only then call `written`, which puts what had to wait for the disk into `outbox`; apply `committed()` in order.
+Pure: time is counted in ticks that the host gives, chance comes from the `Random` handed in. The host's
+duties: call `flush` after each turn of inputs; send `outbox` at once; have `writes()` made durable, one
+after another, and only then call `written`, which puts what had to wait for the disk into `outbox`; apply
+`committed()` in order.
 """
 
 from __future__ import annotations
@@ -298,7 +300,8 @@
         return entries
 
     def compact(self, index: int, data: bytes) -> Snapshot:
-        """The host has encoded the state after `index`, which was applied; it is to be made durable by itself."""
+        """The host has encoded the state after `index`, which was applied; it is to be made durable by
+        itself."""
         assert self.snapshot.index <= index <= self.applied
         term = self.log.term(index)
         assert term is not None
--- a/harepick/store/raft/messages.py
+++ b/harepick/store/raft/messages.py
@@ -1,7 +1,8 @@
 """What the consensus cores say to each other, and the entries they agree on. Indices start at 1, terms at 1.
 
-Source: Ongaro, "Consensus: Bridging Theory and Practice" (2014): chapter 3 for votes and appends, 4 for membership,
-5 for snapshots, 6.4 for reads, 9.6 for the pre-vote. One definition is the type and the wire (`store/wire.py`).
+Source: Ongaro, "Consensus: Bridging Theory and Practice" (2014): chapter 3 for votes and appends, 4 for
+membership, 5 for snapshots, 6.4 for reads, 9.6 for the pre-vote. One definition is the type and the wire
+(`store/wire.py`).
 """
 
 from __future__ import annotations
