--- a/harepick/__main__.py
+++ b/harepick/__main__.py
@@ -18,7 +18,7 @@
 from harepick.lifecycle import Front
 from harepick.log import Log
 from harepick.net.service import PlatformFront
-from harepick.settings import SettingsError, read_platform
+from harepick.settings import SettingsError, read_operator, read_platform, read_toml
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 
@@ -67,12 +67,21 @@
     if platform:
         fronts.append(PlatformFront(platform, os.environ, counters, log))
     if wanted.operator:
-        from harepick.enumdns.service import EnumFront  # off on the platform: not even loaded there
-
-        fronts.append(EnumFront(wanted.operator, counters, log))
+        fronts.append(_operators_front(wanted.operator, counters, log))
     return fronts, log
 
 
+def _operators_front(path: str, counters: Counters, log: Log) -> Front:
+    """What an operator's file sets up. Off on the platform: not even loaded there."""
+    if "store" in read_toml(path):
+        from harepick.store.attach import StoreFront
+
+        return StoreFront(path, counters, log)
+    from harepick.enumdns.service import EnumFront
+
+    return EnumFront(read_operator(path), counters, log, path=path)
+
+
 def main() -> int:
     """Entry point of the command `run` in deploy/balancer.toml."""
     counters = Counters()
--- /dev/null
+++ b/harepick/cli/main.py
@@ -0,0 +1,51 @@
+"""The command `harepick`: its groups, loaded when they are named."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+
+import click
+
+from harepick.cli.common import EXIT_CODES
+
+GROUPS = {
+    "config": ("harepick.cli.config", "config", "Read and change the store's configuration."),
+    "run": ("harepick.cli.run", "run", "Run one instance."),
+    "store": ("harepick.cli.store", "store", "Set up and look after the replicated store."),
+}
+
+
+class Lazy(click.Group):
+    """Names its commands without loading them."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted(GROUPS)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in GROUPS:
+            return None
+        module, name, _ = GROUPS[cmd_name]
+        command = getattr(importlib.import_module(module), name)
+        assert isinstance(command, click.Command)
+        return command
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        with formatter.section("Commands"):
+            formatter.write_dl([(name, GROUPS[name][2]) for name in sorted(GROUPS)])
+
+
+@click.group(cls=Lazy, epilog=EXIT_CODES, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="harepick", message="%(prog)s %(version)s")
+def harepick() -> None:
+    """A border controller: routes calls and ENUM look-ups, and keeps its servers out of overload."""
+
+
+def main() -> int:
+    """Entry point of the installed command."""
+    harepick(prog_name="harepick")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/harepick/cli/run.py
@@ -0,0 +1,21 @@
+"""`harepick run`: the same program as `python -m harepick`."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+
+@click.command()
+@click.option("--operator", envvar="HAREPICK_OPERATOR", metavar="FILE", help="Operator's file.")
+def run(operator: str | None) -> None:
+    """Run one instance until SIGTERM.
+
+    With GW_CONFIG set the platform's front runs; an operator's file sets up the ENUM front, and with [store]
+    in it the replicated store as well. Exit code 2: a faulty setting, named in one line.
+    """
+    from harepick.__main__ import main
+
+    sys.argv[1:] = ["--operator", operator] if operator else []
+    sys.exit(main())
--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -24,6 +24,7 @@
     Caller,
     CallerGone,
     CallOver,
+    Gate,
     Offer,
     ServerDied,
     Servers,
@@ -51,6 +52,7 @@
         log: Log,
         room: int = 20_000,
         clock: Callable[[], float] = time.time,
+        gate: Gate | None = None,
     ) -> None:
         self._inbox = inbox
         self._settings = settings
@@ -58,6 +60,7 @@
         self._counters = counters
         self._log = log
         self._clock = clock
+        self._gate = gate
         self._ledger = Ledger(room)
         self._timers: Timers[int | Attempt | Entry] = Timers()
         self._ready: set[str] = set()  # servers that set-ups may leave for
@@ -95,6 +98,8 @@
         events: list[i.Event] = []
         for word in words:
             events += self._hear(word, now)
+        if self._gate and (wait := self._gate.shut()) is not None:
+            events += self._turn_away(wait)
         for item in self._timers.due(now):
             if isinstance(item, Attempt):
                 events += self._timed_out(item, now)
@@ -159,6 +164,10 @@
             self._counters.add("answers.no_room")
             offer.caller.refused(self._settings.max_advice)
             return []
+        if self._gate and (wait := self._gate.shut()) is not None:
+            self._counters.add("answers.not_current")
+            offer.caller.refused(min(wait, self._settings.max_advice))
+            return []
         self._counters.add("calls.taken")
         entry = self._ledger.book(offer)
         self._timers.set(offer.deadline + self._settings.answer_grace, entry)
@@ -238,6 +247,16 @@
         self._leaving.append(entry)
         return [i.CallerLeft(entry.offer.call)]
 
+    def _turn_away(self, wait: float) -> list[i.Event]:
+        """Nothing may leave any more: calls that wait for a server are answered now, those out go on."""
+        waiting = [entry for entry in self._ledger.unanswered() if entry.out is None]
+        for entry in waiting:
+            self._counters.add("answers.not_current")
+            entry.answered = True
+            entry.offer.caller.refused(min(wait, self._settings.max_advice))
+            self._leaving.append(entry)
+        return [i.CallerLeft(entry.offer.call) for entry in waiting]
+
     def _gone(self, call: str, caller: Caller | None, now: float) -> list[i.Event]:
         entry = self._ledger.get(call)
         if entry is None:
@@ -357,4 +376,5 @@
             and not attempt.revoked
             and now < attempt.deadline
             and attempt.server in self._ready
+            and (self._gate is None or self._gate.may_leave(attempt.server))
         )
--- a/harepick/core/words.py
+++ b/harepick/core/words.py
@@ -77,6 +77,16 @@
         """Ends a call that stands, or stood up too late."""
 
 
+class Gate(Protocol):
+    """Whether this instance may act on what it knows; asked in the moment before it does."""
+
+    def shut(self) -> float | None:
+        """None: open. Else nothing new may start, and callers are told to come back after so many seconds."""
+
+    def may_leave(self, server: str) -> bool:
+        """Whether a set-up to this server may leave now."""
+
+
 # Words from the fronts
 
 
--- a/harepick/enumdns/front.py
+++ b/harepick/enumdns/front.py
@@ -51,10 +51,13 @@
 class Lookup:
     """One look-up under way: the caller of a call, to the core."""
 
-    __slots__ = ("_client", "_front", "_key", "call", "query")
+    __slots__ = ("_client", "_front", "_key", "call", "inbox", "query")
 
-    def __init__(self, front: Front, call: str, key: Key, query: codec.Query, client: Client) -> None:
-        self._front, self.call, self._key, self.query, self._client = front, call, key, query, client
+    def __init__(
+        self, front: Front, inbox: Inbox, call: str, key: Key, query: codec.Query, client: Client
+    ) -> None:
+        self._front, self.inbox, self.call, self._key = front, inbox, call, key
+        self.query, self._client = query, client
 
     def stands(self, description: bytes) -> None:
         room = self._client.room(self.query)
@@ -90,20 +93,18 @@
             self._client.write(data)
 
 
+class Serving:
+    """What look-ups are taken under: a configuration, the routes in it, and the core that gets them."""
+
+    def __init__(self, config: Enum, first_choice: Callable[[str], int], inbox: Inbox) -> None:
+        self.config, self.first_choice, self.inbox = config, first_choice, inbox
+        self.suffix = dns.name.from_text(config.suffix)
+
+
 class Front:
-    def __init__(
-        self,
-        config: Enum,
-        first_choice: Callable[[str], int],
-        inbox: Inbox,
-        counters: Counters,
-        log: Log,
-    ) -> None:
+    def __init__(self, serving: Serving, counters: Counters, log: Log) -> None:
         self.counters = counters
-        self._first_choice = first_choice
-        self._config = config
-        self._suffix = dns.name.from_text(config.suffix)
-        self._inbox = inbox
+        self._serving = serving
         self._log = log
         self._open: dict[Key, Lookup] = {}
         self._count = 0
@@ -114,6 +115,10 @@
     def unwritten(self) -> int:
         return len(self._udp)
 
+    def follow(self, serving: Serving) -> None:
+        """Look-ups that come from now on are taken under this; those under way stay where they are."""
+        self._serving = serving
+
     def finished(self, key: Key) -> bool:
         return self._open.pop(key, None) is not None
 
@@ -141,7 +146,7 @@
     async def serve_tcp(self, stream: SocketStream) -> None:
         """One TCP client; many queries may be under way on its connection."""
         async with stream:
-            if self._connections >= self._config.tcp_clients:
+            if self._connections >= self._serving.config.tcp_clients:
                 self.counters.add("enum.turned_away")
                 return
             self._connections += 1
@@ -156,7 +161,7 @@
                 with anyio.CancelScope(shield=True):
                     for key, lookup in [(k, c) for k, c in self._open.items() if k[0] is outbox]:
                         self._open.pop(key, None)
-                        await self._inbox.put(CallerGone(lookup.call, lookup))
+                        await lookup.inbox.put(CallerGone(lookup.call, lookup))
 
     async def _read_tcp(self, stream: SocketStream, outbox: Outbox[bytes]) -> None:
         def write(answer: bytes) -> None:
@@ -168,7 +173,7 @@
         buffer = bytearray()
         while True:
             try:
-                with anyio.move_on_after(self._config.tcp_idle) as scope:
+                with anyio.move_on_after(self._serving.config.tcp_idle) as scope:
                     buffer += await stream.receive()
             except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
                 return
@@ -197,6 +202,8 @@
 
     async def _take(self, data: bytes, client: Client) -> None:
         now = time.time()
+        serving = self._serving
+        config = serving.config
         self.counters.add("enum.queries")
         try:
             query = codec.read_query(data)
@@ -206,7 +213,7 @@
             if error.answer is not None:
                 client.write(error.answer)
             return
-        number = codec.number(query.question, self._suffix)
+        number = codec.number(query.question, serving.suffix)
         if number is None:
             self.counters.add("enum.outside")
             answer = codec.refusal(query, dns.rcode.REFUSED, codec.PROHIBITED, "no number under the suffix")
@@ -218,16 +225,16 @@
             return
         self._count += 1
         call = f"enum-{self._count}"
-        lookup = self._open[key] = Lookup(self, call, key, query, client)
-        await self._inbox.put(
+        lookup = self._open[key] = Lookup(self, serving.inbox, call, key, query, client)
+        await serving.inbox.put(
             Offer(
                 call=call,
-                class_name=self._config.call_class,
-                destination=self._first_choice(number),
+                class_name=config.call_class,
+                destination=serving.first_choice(number),
                 number=zlib.crc32(
                     f"{client.host} {number}".encode()
                 ),  # a client that asks again is known by it
-                deadline=now + max(self._config.deadline - MARGIN, self._config.deadline / 2),
+                deadline=now + max(config.deadline - MARGIN, config.deadline / 2),
                 caller=lookup,
                 request=query.question,
             )
--- a/harepick/enumdns/service.py
+++ b/harepick/enumdns/service.py
@@ -1,96 +1,213 @@
-"""The ENUM front: wires its parts up, follows the operator's file, and sees a planned stop through."""
+"""The ENUM front: wires its parts up, follows its configuration, and sees a planned stop through.
+
+The configuration comes from the operator's file, or from the replicated store (`harepick/store/attach.py`),
+which hands a new one to `apply`. A change of the upstreams or routes alone goes to the core that is there. A
+change of class, rules or limits begins a new generation: a core of its own that takes what comes from then
+on, while the one before finishes the look-ups that it has.
+"""
 
 from __future__ import annotations
 
 import secrets
+from collections.abc import Sequence
+from dataclasses import replace
 
 import anyio
-from anyio.abc import TaskStatus
+from anyio.abc import TaskGroup, TaskStatus
 
 from harepick import interface as i
 from harepick.core.engine import Engine
 from harepick.core.inbox import Inbox
-from harepick.core.words import Told
+from harepick.core.words import Gate, Told
 from harepick.counters import Counters
 from harepick.directory import Directory, Row
-from harepick.enumdns.front import Front
+from harepick.enumdns.front import Front, Serving
+from harepick.enumdns.routes import Routes
 from harepick.enumdns.upstreams import Upstreams
 from harepick.lifecycle import finish
 from harepick.log import Log
-from harepick.settings import Enum, SettingsError, read_operator
+from harepick.settings import Address, Enum, SettingsError, read_operator
 
 STILL_COMING = 0.2  # after a stop, queries on their way are still taken for so long
 FLUSH = 0.2
+LATE_WORDS = 0.5  # an old generation stays so much longer than its last look-up may take
+MOST_NUMBERS = 1_024  # of servers, past and present
+MOST_GENERATIONS = 8  # a flood of changes waits: each generation has sockets of its own
+
+
+def server_name(name: str, address: Address) -> str:
+    """An upstream with a new address is another server to the module."""
+    return f"{name}@{address}"
+
+
+def ready_servers(config: Enum) -> frozenset[str]:
+    """The servers of a configuration that may be sent something."""
+    return frozenset(server_name(u.name, u.address) for u in config.upstreams if not u.draining)
+
+
+class Generation:
+    """One core with its port towards the upstreams, for one set of class, rules and limits."""
+
+    def __init__(
+        self,
+        config: Enum,
+        directory: Directory,
+        counters: Counters,
+        log: Log,
+        gate: Gate | None,
+    ) -> None:
+        module = config.settings
+        self.config = config
+        self.inbox = Inbox()
+        self.port = Upstreams(directory, self.inbox, counters, log, module.connect_timeout, config.edns_size)
+        seed = secrets.randbits(63) if config.seed is None else config.seed
+        self.engine = Engine(
+            module, seed, self.port, self.inbox, counters, log, config.open_lookups, gate=gate
+        )
+        self.scope = anyio.CancelScope()
+
+    async def run(
+        self, known: i.ServerList, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(self.port.run)
+                tasks.start_soon(self.engine.run, known)
+                task_status.started()
+
+    def told(self, change: i.ServerList) -> None:
+        self.port.listed(change)
+        self.inbox.tell(Told(change))
+
+    async def retire(self) -> None:
+        """Finishes what it has, and ends."""
+        await finish(lambda: self.engine.idle, self.config.deadline + LATE_WORDS, LATE_WORDS)
+        self.engine.give_up()
+        self.scope.cancel()
 
 
 class EnumFront:
-    def __init__(self, path: str, counters: Counters, log: Log) -> None:
-        self._path, self._counters, self._log = path, counters, log
-        self._config = read_operator(path)
-        self._directory = Directory()
-        self._numbers: dict[str, int] = {}  # upstream -> its number, the same for as long as we run
-        self._choices: list[int] = []  # numbers of those that take look-ups
+    def __init__(
+        self,
+        config: Enum,
+        counters: Counters,
+        log: Log,
+        *,
+        path: str | None = None,
+        gate: Gate | None = None,
+    ) -> None:
+        """`path`: the operator's file, read again on `reload`; none: `apply` alone brings changes."""
+        self._path, self._counters, self._log, self._gate = path, counters, log, gate
+        self._config = config
+        self.directory = Directory()
+        self._numbers: dict[str, int] = {}  # server -> its number, the same for good
         self._changed = anyio.Event()
+        self._wanted: Enum | None = None
+        self._generations: list[Generation] = []
+        self._front: Front | None = None
 
     def reload(self) -> None:
-        self._changed.set()
+        """Reads the file again; a faulty one changes nothing."""
+        if self._path is None:
+            return
+        try:
+            config = read_operator(self._path)
+        except SettingsError as error:
+            self._counters.add("enum.bad_files")
+            self._log.event("reload_failed", error=str(error))
+            return
+        self.apply(config)
+
+    def apply(self, config: Enum) -> None:
+        """Takes a new configuration over. At once for upstreams and routes: on return the core has the word.
+
+        What else has changed begins a new generation as soon as the loop comes round; `listen` stays."""
+        old, self._config = self._config, config
+        if self._front is None:
+            return  # not up yet: it starts with this one
+        change = self.directory.update(self._rows(config), whole=True)
+        for generation in self._generations:
+            generation.told(change)
+        if replace(config, upstreams=(), routes=()) != replace(old, upstreams=(), routes=()) or self._wanted:
+            self._wanted = config
+            self._changed.set()
+        else:
+            self._front.follow(self._serving(config, self._generations[-1]))
+        self._log.event("reloaded", upstreams=[f"{e.server} {e.state}" for e in change.entries])
+
+    def remember(self, rows: Sequence[Row]) -> None:
+        """The pool as it was known before a restart; `apply` follows with what holds now."""
+        self._numbers |= {row.entry.server: row.entry.number for row in rows}
+        self.directory.update(list(rows), whole=False)
+        known = i.ServerList(i.ListKind.REMEMBERED, self.directory.entries())
+        for generation in self._generations:
+            generation.told(known)
 
     async def run(
         self, stop: anyio.Event, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         config, counters, log = self._config, self._counters, self._log
-        module = config.settings
-        inbox = Inbox()
-        port = Upstreams(self._directory, inbox, counters, log, module.connect_timeout, config.edns_size)
-        seed = secrets.randbits(63) if config.seed is None else config.seed
-        engine = Engine(module, seed, port, inbox, counters, log, config.open_lookups)
-        front = Front(config, self._first_choice, inbox, counters, log)
         host, number = config.listen.host, config.listen.port
-        known = self._directory.update(self._rows(config), whole=True)
+        change = self.directory.update(self._rows(config), whole=True)
         listener = await anyio.create_tcp_listener(local_host=host, local_port=number)
         sock = await anyio.create_udp_socket(local_host=host, local_port=number)
         async with listener, sock, anyio.create_task_group() as tasks:
-            await tasks.start(port.run)
-            tasks.start_soon(engine.run, known)
-            tasks.start_soon(self._follow, port, inbox)
+            first = Generation(config, self.directory, counters, log, self._gate)
+            self._generations.append(first)
+            await tasks.start(first.run, change)
+            front = self._front = Front(self._serving(config, first), counters, log)
+            tasks.start_soon(self._follow, tasks)
             tasks.start_soon(front.serve_udp, sock)
             tasks.start_soon(listener.serve, front.serve_tcp)
             log.event("listening", front="enum", listen=str(config.listen), suffix=config.suffix)
             task_status.started()
             await stop.wait()
-            await finish(lambda: engine.idle, config.deadline + STILL_COMING, STILL_COMING)
-            engine.give_up()
+            await finish(
+                lambda: all(g.engine.idle for g in self._generations),
+                self._config.deadline + STILL_COMING,
+                STILL_COMING,
+            )
+            for generation in self._generations:
+                generation.engine.give_up()
             await finish(lambda: not front.unwritten, FLUSH, 0.02)
             tasks.cancel_scope.cancel()
 
-    async def _follow(self, port: Upstreams, inbox: Inbox) -> None:
-        """Takes the upstreams of a changed file over; a faulty file changes nothing."""
+    async def _follow(self, tasks: TaskGroup) -> None:
+        """Begins a new generation when class, rules or limits have changed."""
+        assert self._front
         while True:
             await self._changed.wait()
             self._changed = anyio.Event()
-            try:
-                config = read_operator(self._path)
-            except SettingsError as error:
-                self._counters.add("enum.bad_files")
-                self._log.event("reload_failed", error=str(error))
-                continue
-            change = self._directory.update(self._rows(config), whole=True)
-            port.listed(change)
-            await inbox.put(Told(change))
-            self._log.event("reloaded", upstreams=[f"{e.server} {e.state}" for e in change.entries])
-
-    def _first_choice(self, number: str) -> int:
-        """Numbers are spread over the upstreams by their last digit; a call has to name one it prefers."""
-        return self._choices[int(number[-1]) % len(self._choices)]
+            while len(self._generations) >= MOST_GENERATIONS:
+                await anyio.sleep(0.05)
+            config, self._wanted = self._wanted or self._config, None
+            generation = Generation(config, self.directory, self._counters, self._log, self._gate)
+            await tasks.start(generation.run, i.ServerList(i.ListKind.ALL, self.directory.entries()))
+            old = self._generations[-1]
+            self._generations.append(generation)
+            self._front.follow(self._serving(self._config, generation))
+            self._counters.add("enum.generations")
+            self._log.event("new_generation", deadline=config.deadline, open_cap=config.open_lookups)
+            tasks.start_soon(self._retire, old)
+
+    async def _retire(self, old: Generation) -> None:
+        await old.retire()
+        self._generations.remove(old)
+
+    def _serving(self, config: Enum, generation: Generation) -> Serving:
+        numbers = {u.name: self._numbers[server_name(u.name, u.address)] for u in config.upstreams}
+        ready = [u.name for u in config.upstreams if not u.draining]
+        routes = Routes(config.routes, numbers, ready)
+        return Serving(generation.config, routes.first_choice, generation.inbox)
 
     def _rows(self, config: Enum) -> list[Row]:
-        """An upstream with a new address is another server to the module."""
         rows = []
         for upstream in config.upstreams:
-            server = f"{upstream.name}@{upstream.address}"
-            number = self._numbers.setdefault(server, len(self._numbers))
+            server = server_name(upstream.name, upstream.address)
+            number = self._numbers.setdefault(server, max(self._numbers.values(), default=-1) + 1)
             state = "draining" if upstream.draining else "ready"
             rows.append(Row(i.ServerEntry(server, number, state), upstream.address))
-        numbers = [row.entry.number for row in rows if row.entry.state == "ready"]
-        self._choices = numbers or [row.entry.number for row in rows]
+        while len(self._numbers) > MOST_NUMBERS:  # configurations come and go for as long as we run
+            kept = {row.entry.server for row in rows}
+            del self._numbers[next(name for name in self._numbers if name not in kept)]
         return rows
--- a/harepick/enumdns/upstreams.py
+++ b/harepick/enumdns/upstreams.py
@@ -96,6 +96,8 @@
                 self._log.event("upstream", server=attempt.server, error=error.strerror)
                 return i.Outcome.UNREACHED
             attempt.sent = now
+            if not attempt.may_leave(time.time()):
+                self._count("enum.doubtful")  # this process stood still between the last look and the send
             channel.uses += 1
             channel.open[ident] = attempt
             self._where[attempt] = (channel, ident)
@@ -215,17 +217,26 @@
             return None
         question: Question = attempt.request  # type: ignore[assignment]
         ident = self._random.randrange(1 << 16)
-        with anyio.fail_after(self._connect_timeout):
-            stream = await anyio.connect_tcp(row.address.host, row.address.port)
-        async with stream:
+        family = socket.AF_INET6 if ":" in row.address.host else socket.AF_INET
+        with socket.socket(family, socket.SOCK_STREAM) as sock:
+            sock.setblocking(False)
+            with anyio.fail_after(self._connect_timeout):
+                if sock.connect_ex((row.address.host, row.address.port)):
+                    await anyio.wait_writable(sock)
+                if error := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                    raise OSError(error, "no connection")
             if not attempt.may_leave(time.time()):
                 return None  # told to drain, or out of time, while the connection came up
             query = codec.ask(question, ident, self._payload)
-            await stream.send(len(query).to_bytes(2, "big") + query)
+            sock.send(len(query).to_bytes(2, "big") + query)  # in the same turn as that last look
             self._count("enum.sent_tcp")
             data = b""
             while len(data) < 2 or len(data) < 2 + int.from_bytes(data[:2], "big"):
-                data += await stream.receive()
+                await anyio.wait_readable(sock)
+                part = sock.recv(DATAGRAM)
+                if not part:
+                    raise anyio.EndOfStream
+                data += part
             reply = codec.read_reply(data[2 : 2 + int.from_bytes(data[:2], "big")])
         if reply is None or (reply.id, reply.question) != (ident, question) or reply.truncated:
             self._count("enum.unmatched")
--- a/harepick/settings.py
+++ b/harepick/settings.py
@@ -62,6 +62,14 @@
     draining: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Numbers under a prefix (`+` and digits) go to these upstreams first."""
+
+    prefix: str
+    upstreams: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Enum:
     """The ENUM front as an operator's file sets it up."""
@@ -77,6 +85,7 @@
     seed: int | None
     upstreams: tuple[Upstream, ...]
     settings: i.Settings
+    routes: tuple[Route, ...] = ()
 
 
 def _number(table: Mapping[str, Any], path: str, low: float, default: float | None = None) -> float:
@@ -248,26 +257,57 @@
     "class": {"aim_ms", "worth", "late_share"},
     "rules": {"drain_grace_ms", "release_ms", "try_limit", "connect_timeout_ms", "stay_away_ms", "open_cap"},
     "upstream": {"name", "address", "draining"},
+    "route": {"prefix", "upstreams"},
 }
+OWN_KEYS = {"listen", "seed", "tcp_clients", "tcp_idle_s"}  # of [enum]: each instance's own, not the store's
 MOST_UPSTREAMS = 16
+MOST_ROUTES = 1_000
+PREFIX = re.compile(r"\+[0-9]{1,15}$")
 LABEL = re.compile(r"[0-9A-Za-z_]([0-9A-Za-z_-]{0,61}[0-9A-Za-z_])?$")
 
 
-def read_operator(path: str) -> Enum:
-    """The ENUM front as a TOML file sets it up; raises `SettingsError` naming the faulty key."""
+def read_toml(path: str) -> dict[str, Any]:
+    """A TOML file as a table; raises `SettingsError`."""
     try:
-        table = tomllib.loads(Path(path).read_text())
+        return tomllib.loads(Path(path).read_text())
     except OSError as error:
         raise SettingsError(f"file {path}: {error.strerror}") from None
     except ValueError as error:
         raise SettingsError(f"file {path} is not TOML: {error}") from None
+
+
+def read_operator(path: str) -> Enum:
+    """The ENUM front as a TOML file sets it up; raises `SettingsError` naming the faulty key."""
+    table = read_toml(path)
+    table.pop("store", None)  # `harepick.store.settings` reads it, where it is installed
+    return read_enum(table)
+
+
+def read_shared(text: str, own: Mapping[str, Any] | None = None) -> Enum:
+    """A configuration of the replicated store, with an instance's `own` keys of [enum] beside it.
+
+    Raises `SettingsError` naming the faulty key, also for a key that is an instance's own."""
+    try:
+        table = tomllib.loads(text)
+    except ValueError as error:
+        raise SettingsError(f"the configuration is not TOML: {error}") from None
+    if "store" in table:
+        raise SettingsError("setting store belongs in the instance's own file")
+    front = _table(table, "enum")
+    for key in sorted(OWN_KEYS & front.keys()):
+        raise SettingsError(f"setting enum.{key} belongs in the instance's own file")
+    return read_enum(table | {"enum": {**front, **(own or {})}})
+
+
+def read_enum(table: Mapping[str, Any]) -> Enum:
+    """The ENUM front as a table sets it up; raises `SettingsError` naming the faulty key."""
     for section, value in table.items():
         if section not in KNOWN_KEYS:
             raise SettingsError(f"setting {section} is not known")
         for row in value if isinstance(value, list) else [value]:
             if not isinstance(row, Mapping):
                 raise SettingsError(f"setting {section} makes no sense: {row!r}")
-            for key in row.keys() - KNOWN_KEYS[section]:
+            for key in sorted(row.keys() - KNOWN_KEYS[section]):
                 raise SettingsError(f"setting {section}.{key} is not known")
     front = _table(table, "enum")
     deadline = _number(table, "enum.deadline_ms", 100, 2000) / 1000.0
@@ -299,8 +339,10 @@
         max_advice=_number(table, "rules.stay_away_ms", 0, 2000) / 1000.0,
     )
     seed = _number(table, "enum.seed", 0, -1)
+    listen = address(_text(front, "listen", "127.0.0.1:5353"), "enum.listen")
+    upstreams = _upstreams(table.get("upstream"))
     return Enum(
-        listen=address(_text(front, "listen", "127.0.0.1:5353"), "enum.listen"),
+        listen=listen,
         suffix=_suffix(_text(front, "suffix", "e164.arpa.")),
         call_class=name,
         deadline=deadline,
@@ -309,8 +351,9 @@
         tcp_idle=_number(table, "enum.tcp_idle_s", 0.1, 10.0),
         open_lookups=int(_number(table, "rules.open_cap", 1, 10_000)),
         seed=None if seed < 0 else int(seed),
-        upstreams=_upstreams(table.get("upstream")),
+        upstreams=upstreams,
         settings=settings,
+        routes=_routes(table.get("route", []), {u.name for u in upstreams}),
     )
 
 
@@ -340,3 +383,24 @@
             raise SettingsError(str(error).replace("setting ", f"setting upstream[{n}].", 1)) from None
         upstreams.append(upstream)
     return tuple(upstreams)
+
+
+def _routes(rows: Any, known: set[str]) -> tuple[Route, ...]:
+    if not isinstance(rows, list):
+        raise SettingsError(f"setting route makes no sense: {rows!r}")
+    if len(rows) > MOST_ROUTES:
+        raise SettingsError(f"setting route has over {MOST_ROUTES} rows")
+    routes: dict[str, Route] = {}
+    for n, row in enumerate(rows):
+        prefix, upstreams = row.get("prefix"), row.get("upstreams")
+        if not isinstance(prefix, str) or not PREFIX.match(prefix):
+            raise SettingsError(f"setting route[{n}].prefix is no + and digits: {prefix!r}")
+        if prefix in routes:
+            raise SettingsError(f"setting route[{n}].prefix is there twice: {prefix!r}")
+        if not isinstance(upstreams, list) or not upstreams:
+            raise SettingsError(f"setting route[{n}].upstreams makes no sense: {upstreams!r}")
+        for name in upstreams:
+            if name not in known:
+                raise SettingsError(f"setting route[{n}].upstreams names no upstream: {name!r}")
+        routes[prefix] = Route(prefix, tuple(upstreams))
+    return tuple(routes.values())
--- /dev/null
+++ b/harepick/store/attach.py
@@ -0,0 +1,188 @@
+"""The store attached to the ENUM front: one instance that serves look-ups under the store's configuration.
+
+It is the front's gate: nothing new starts, and nothing leaves, unless this instance holds its lease, and
+then only to servers of the revision that it adopted. What it knows of the pool goes to the store at a
+bounded rate, and comes back after a restart.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Mapping
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+
+from harepick import interface as i
+from harepick.counters import Counters
+from harepick.directory import Row
+from harepick.enumdns.service import EnumFront, ready_servers
+from harepick.log import Log
+from harepick.settings import OWN_KEYS, SettingsError, address, read_shared, read_toml
+from harepick.store.disk.files import StorageError
+from harepick.store.machine import Conflict, Done, Envelope, Put, Revision, View, ViewRow
+from harepick.store.operators import Operators
+from harepick.store.raft.core import BusyError, NotLeaderError
+from harepick.store.replica import Replica, StoreUnavailableError
+from harepick.store.settings import StoreSettings, read_store
+
+VIEW_EVERY = 1.0  # seconds between two writes of the pool view
+FIRST_EVERY = 0.5  # between two tries to write the first configuration
+# Until a configuration is known: everything is refused with a time to come back, as the gate is shut.
+NOTHING = '[[upstream]]\nname = "none"\naddress = "127.0.0.1:9"\ndraining = true\n'
+
+
+class StoreFront:
+    """One instance: the replica, the operators' port, and the ENUM front on top of it."""
+
+    def __init__(self, path: str, counters: Counters, log: Log) -> None:
+        """Raises `SettingsError`, also for a folder that can't be used."""
+        table = read_toml(path)
+        settings = read_store(table)
+        if settings is None:
+            raise SettingsError("setting store is missing")
+        self.settings: StoreSettings = settings
+        self._own, self._first = _own_part(table, path)
+        self._counters, self._log = counters, log
+        self._allowed: frozenset[str] = frozenset()
+        self._revision = 0
+        self._remembered = False
+        nothing = replace(read_shared(NOTHING, self._own), upstreams=())
+        self.front = EnumFront(nothing, counters, log, gate=self)
+        self.replica = Replica(settings, counters, log, self._adopt)
+        try:
+            self.replica.open()
+        except StorageError as error:
+            raise SettingsError(str(error)) from None
+        except OSError as error:
+            raise SettingsError(f"setting store.folder: {error.strerror}: {settings.folder}") from None
+
+    def reload(self) -> None:
+        self._log.event("reload_ignored", why="the configuration is in the store: harepick config set")
+
+    # The gate
+
+    def shut(self) -> float | None:
+        if self._revision and self.replica.may_act():
+            return None
+        return self.replica.come_back()
+
+    def may_leave(self, server: str) -> bool:
+        return server in self._allowed and self.replica.may_act()
+
+    def _adopt(self, revision: Revision) -> None:
+        """From here on nothing leaves under an older one."""
+        config = read_shared(revision.text, self._own)
+        self._allowed = ready_servers(config)
+        self._revision = revision.number
+        if not self._remembered:
+            self._remembered = True
+            self._remember()
+        self.front.apply(config)
+        self._counters.add("store.adopted")
+        self._log.event("store_adopted", revision=revision.number, author=revision.author)
+
+    # Running
+
+    async def run(
+        self, stop: anyio.Event, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        async with anyio.create_task_group() as tasks:
+            Operators(self.replica, self._counters)
+            await tasks.start(self.replica.run)
+            tasks.start_soon(self._tell_view)
+            if self._first is not None:
+                tasks.start_soon(self._write_first, self._first)
+            await self.front.run(stop, task_status=task_status)
+            tasks.cancel_scope.cancel()
+
+    async def _write_first(self, text: str) -> None:
+        """The first configuration of a new cluster, from the file that `store.first` names; one of them
+        wins."""
+        envelope = Envelope("", 0, Put(text, 0, f"{self.settings.replica}: store.first", "", time.time()))
+        while self.replica.node.revision is None and not self.replica.node.stopped:
+            try:
+                await self.replica.read(5.0)
+                if self.replica.node.revision is None:
+                    answer = await self.replica.change(envelope, 5.0)
+                    if isinstance(answer, Done | Conflict):
+                        return
+            except (NotLeaderError, BusyError, StoreUnavailableError):
+                pass  # another leads, and does the same; or nobody does yet
+            await anyio.sleep(FIRST_EVERY)
+
+    # The pool view
+
+    def _remember(self) -> None:
+        """What this instance knew last goes to the module as the remembered list."""
+        view = self.replica.node.machine.views.get(self.settings.replica)
+        if view is None:
+            return
+        rows = []
+        for row in view.rows:
+            entry = i.ServerEntry(row.server, row.number, row.state, row.size, row.started, row.zone)
+            rows.append(Row(entry, address(row.address, "view.address")))
+        self.front.remember(rows)
+        self._counters.add("store.remembered", len(rows))
+        self._log.event("store_remembered", servers=[f"{r.server} {r.state}" for r in view.rows])
+
+    def _rows(self) -> tuple[ViewRow, ...]:
+        directory = self.front.directory
+        rows = []
+        for entry in directory.entries():
+            row = directory.get(entry.server)
+            assert row
+            rows.append(
+                ViewRow(
+                    entry.server,
+                    entry.number,
+                    entry.state,
+                    entry.size,
+                    entry.started,
+                    entry.zone,
+                    str(row.address),
+                )
+            )
+        return tuple(rows)
+
+    async def _tell_view(self) -> None:
+        """Keeps the store's copy of what we know up to date, off the path of calls."""
+        while True:
+            await anyio.sleep(VIEW_EVERY)
+            if not self._revision or not self.replica.may_act():
+                continue
+            rows = self._rows()
+            known = self.replica.node.machine.views.get(self.settings.replica)
+            if known is None or known.rows != rows:
+                view = View(self.settings.replica, rows, at=time.time())
+                self.replica.suggest(Envelope("", 0, view))
+                self._counters.add("store.views")
+
+
+def _own_part(table: Mapping[str, Any], path: str) -> tuple[dict[str, Any], str | None]:
+    """An instance's own keys of [enum], and the text of the first configuration."""
+    for section in sorted(table.keys() - {"store", "enum"}):
+        raise SettingsError(
+            f"setting {section} belongs in the store's configuration: "
+            "put it in the file that store.first names"
+        )
+    front = table.get("enum", {})
+    if not isinstance(front, Mapping):
+        raise SettingsError(f"setting enum makes no sense: {front!r}")
+    for key in sorted(front.keys() - OWN_KEYS):
+        raise SettingsError(f"setting enum.{key} belongs in the store's configuration")
+    first = table["store"].get("first")
+    if first is None:
+        return dict(front), None
+    if not isinstance(first, str):
+        raise SettingsError(f"setting store.first is no path: {first!r}")
+    where = Path(path).parent / first
+    try:
+        text = where.read_text()
+        read_shared(text)
+    except (OSError, ValueError) as error:  # a `SettingsError` is a ValueError
+        raise SettingsError(f"setting store.first: {where}: {error}") from None
+    return dict(front), text
--- a/harepick/store/disk/storage.py
+++ b/harepick/store/disk/storage.py
@@ -140,6 +140,7 @@
         self._frame = 0  # number of the last frame written
         self._last = 0  # index of the last entry that stands
         self._seed = 0
+        self._looks = False
         self._hard = HardState()
         self._lasts: dict[str, int] = {}  # segment -> highest index in it
         self.failed = ""  # why nothing is written any more
@@ -147,21 +148,26 @@
 
     # The start
 
-    def open(self) -> Recovered:
-        """Locks the folder and reads it; raises `StorageError` naming file and offset."""
+    def open(self, *, write: bool = True) -> Recovered:
+        """Locks the folder and reads it; raises `StorageError` naming file and offset.
+
+        Without `write`, only looks: what would be cut off is told, and stays."""
         self._files.lock()
+        self._looks = not write
         identity = read_identity(self._files)
         if identity is None:
             raise StorageError(f"folder {self._files} has no replica: make one with 'harepick store init'")
         names = self._files.names()
         for name in names:
-            if name.endswith(".new"):
+            if name.endswith(".new") and write:
                 self._files.remove(name)  # cut off before its rename: nothing counted on it
         snapshot = self._read_snapshots(names)
         found = Recovered(identity, HardState(), snapshot, [])
         self._seed = frames.checksum(identity.folder.encode())
         reset = self._read_segments(names, found)
         self._hard = found.hard
+        if not write:
+            return found
         self._last = max(snapshot.index, found.entries[-1].index if found.entries else 0)
         try:
             self._settle()
@@ -186,7 +192,7 @@
         snapshot = read_snapshot(name, self._files.read(name))
         if snapshot.index != indices[-1]:
             raise StorageError(f"{name}: the snapshot is of index {snapshot.index}")
-        for index in indices[:-1]:
+        for index in indices[:-1] if not self._looks else ():
             self._files.remove(f"snap-{index}")
         return snapshot
 
@@ -229,7 +235,7 @@
             if not newest or frames.sound_after(seed, data, 0):
                 raise
             found.notes.append(f"{name}: cut at offset 0, a header that was never finished")
-            self._files.truncate(name, 0)
+            self._truncate(name, 0)
             return -1
         if not entries and last > base and not self._frame:
             raise StorageError(f"{name}: entries {base + 1} to {last} are in no segment before it")
@@ -287,9 +293,13 @@
         found.notes.append(
             f"{name}: cut at offset {offset}, {len(data) - offset} bytes that were never acknowledged"
         )
-        self._files.truncate(name, offset)
+        self._truncate(name, offset)
         return None
 
+    def _truncate(self, name: str, size: int) -> None:
+        if not self._looks:
+            self._files.truncate(name, size)
+
     # Writing
 
     def _open_segment(self, reset: frames.Reset | None = None) -> None:
--- a/harepick/store/node.py
+++ b/harepick/store/node.py
@@ -141,7 +141,6 @@
         self._next_ask = now
         self._out: list[tuple[str, PeerMessage]] = []
         self._answers: list[tuple[Waiter, Answer]] = []
-        self._apply()  # a single replica's commit comes with its election; a snapshot's state is there now
 
     # What can be asked
 
--- a/harepick/store/raft/core.py
+++ b/harepick/store/raft/core.py
@@ -127,6 +127,8 @@
         self._beat = 0
         self._timeout = 0
         self._draw()
+        if self.membership.voters == (name,):
+            self._timeout = 1  # nobody else to hear of
 
     # What can be asked
 
