--- a/benchmarks/daemons.py
+++ b/benchmarks/daemons.py
@@ -187,7 +187,13 @@
         return self.tool(*words, "--cluster", self.name, *where, code=code)
 
     def status(self, at: Daemon) -> dict[str, Any]:
-        rows = orjson.loads(self.ask("store", "status", "--json", at=at))
+        """As it sees itself, with a leader or without."""
+        where = ("--cluster", self.name, "--at", f"{HOST}:{at.store_port}")
+        words = ("store", "status", "--json", *where)
+        done = subprocess.run(
+            [sys.executable, "-m", "harepick.cli.main", *words], cwd=ROOT, capture_output=True, timeout=30
+        )
+        rows = orjson.loads(done.stdout[: done.stdout.rindex(b"]") + 1])
         return next(row for row in rows if row["replica"] == at.name)
 
     def leader(self, within: float = 10.0) -> Daemon:
--- a/harepick/store/node.py
+++ b/harepick/store/node.py
@@ -292,6 +292,8 @@
         elif self._leading:
             self._leading = 0
             self.grants.follow()
+            self._restore()
+            self._apply()  # a leader that was removed steps down with the entry that says so
             self._lose_all()
             self._next_ask = now
         for token in self.raft.dropped:
--- a/harepick/store/raft/core.py
+++ b/harepick/store/raft/core.py
@@ -588,9 +588,11 @@
         if index > self.commit and self._may_commit(index):
             self.commit = index
             self._news = True
-            if not self.membership.is_voter(self.name) and self.membership_index <= index:
-                self._broadcast()
-                self._follow(self.term, "")  # removed: it has seen its own removal through
+        removed = not self.membership.is_voter(self.name)
+        if removed and self.membership_index <= min(self.commit, self.log.stable):
+            self._broadcast()
+            self._follow(self.term, "")  # it has seen its own removal through
+            return
         self._confirm()
 
     def _may_commit(self, index: int) -> bool:
--- a/harepick/store/replica.py
+++ b/harepick/store/replica.py
@@ -201,10 +201,11 @@
     def _look(self) -> None:
         """Follows what the node has come to, for those who watch."""
         raft = self.node.raft
-        membership = raft.membership
-        if membership is not self._members_seen:
-            self._members_seen = membership
-            rows = {m.id: m.address for m in membership.members}
+        # Until a change is committed both hold: a leader that is removed has to hear that it is.
+        now, settled = raft.membership, raft.membership_at(raft.commit)
+        if (now, settled) != self._members_seen:
+            self._members_seen = (now, settled)
+            rows = {m.id: m.address for m in (*settled.members, *now.members)}
             # One that knows no members yet has to listen to whoever adds it.
             self.transport.members(rows, lambda name: not rows or name in rows)
         if self.node.stopped and not self._stopped_told:
--- a/harepick/store/transport.py
+++ b/harepick/store/transport.py
@@ -16,10 +16,11 @@
 from harepick.counters import Counters
 from harepick.log import Log
 from harepick.net.outbox import Outbox
-from harepick.settings import Address, address
+from harepick.settings import Address, SettingsError, address
 from harepick.store import wire
 from harepick.store.disk.storage import Identity
 from harepick.store.node import PeerMessage
+from harepick.store.settings import peer_address
 from harepick.store.wire import LOST, Frames, Hello, Welcome, WireError
 
 CONNECT = 1.0  # seconds to open a connection and be welcomed
@@ -75,6 +76,7 @@
         self._pinning = anyio.Lock()
         self._tasks: TaskGroup | None = None
         self._may_speak: Callable[[str], bool] = lambda name: True
+        self._knows_members = False
         self.serve_tool: Serve | None = None
 
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
@@ -90,6 +92,7 @@
     def members(self, rows: dict[str, str], may_speak: Callable[[str], bool]) -> None:
         """The members now, name -> address. Lines to others end, also those they opened."""
         self._may_speak = may_speak
+        self._knows_members = bool(rows)
         rows = {name: where for name, where in rows.items() if name != self._identity.replica}
         for name in [n for n, peer in self._peers.items() if rows.get(n) != peer.where]:
             self._peers.pop(name).scope.cancel()
@@ -97,9 +100,13 @@
             self._heard.pop(name).cancel()
         assert self._tasks
         for name, where in rows.items():
-            if name not in self._peers:
-                peer = self._peers[name] = Peer(name, where)
-                self._tasks.start_soon(self._speak, peer)
+            self._add(name, where)
+
+    def _add(self, name: str, where: str) -> None:
+        assert self._tasks
+        if name not in self._peers:
+            peer = self._peers[name] = Peer(name, where)
+            self._tasks.start_soon(self._speak, peer)
 
     def send(self, to: str, message: PeerMessage) -> None:
         """Never blocks; what finds no room, or no line, is dropped."""
@@ -140,7 +147,7 @@
             me = self._identity
             frames = Frames(stream)
             with anyio.fail_after(CONNECT):
-                await stream.send(wire.frame(Hello("peer", me.cluster, me.replica, me.folder)))
+                await stream.send(wire.frame(self._hello()))
                 welcome = wire.welcomes.read(await frames.next())
             if welcome.error:
                 raise WireError(f"turned away: {welcome.error}")
@@ -156,6 +163,10 @@
                     with anyio.fail_after(STALL):
                         await stream.send(part)
 
+    def _hello(self) -> Hello:
+        me = self._identity
+        return Hello("peer", me.cluster, me.replica, me.folder, address=str(self._listen))
+
     def _packed(self, messages: list[PeerMessage]) -> list[bytes]:
         """Frames, many in one write, none in a write of over `MOST_FRAME`."""
         parts, size = [bytearray()], 0
@@ -225,6 +236,9 @@
             with suppress(anyio.EndOfStream, anyio.BrokenResourceError):  # a tool may go when it likes
                 await self._hear_tool(stream, frames)
             return
+        if not self._knows_members:  # it adds us: answer where it listens, until the log tells the members
+            with suppress(SettingsError):
+                self._add(hello.replica, str(peer_address(hello.address, "address")))
         if old := self._heard.pop(hello.replica, None):
             old.cancel()  # it opened a new one: the old one is dead, or soon will be
         self._heard[hello.replica] = scope
--- a/harepick/store/wire.py
+++ b/harepick/store/wire.py
@@ -36,6 +36,7 @@
     replica: str = ""  # of the sender, or of who answers
     folder: str = ""
     version: int = VERSION
+    address: str = ""  # where a peer listens: one that joins knows no other
 
 
 class Welcome(Struct, frozen=True):
