--- a/harepick/settings.py
+++ b/harepick/settings.py
@@ -13,6 +13,7 @@
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import lru_cache
 from pathlib import Path
 from typing import Any
 
@@ -283,20 +284,27 @@
     return read_enum(table)
 
 
+@lru_cache(maxsize=4)
+def _parsed(text: str) -> Mapping[str, Any]:
+    """The same text is read where it is proposed and where it takes effect. Not to be changed by the
+    reader."""
+    try:
+        return tomllib.loads(text)
+    except ValueError as error:
+        raise SettingsError(f"the configuration is not TOML: {error}") from None
+
+
 def read_shared(text: str, own: Mapping[str, Any] | None = None) -> Enum:
     """A configuration of the replicated store, with an instance's `own` keys of [enum] beside it.
 
     Raises `SettingsError` naming the faulty key, also for a key that is an instance's own."""
-    try:
-        table = tomllib.loads(text)
-    except ValueError as error:
-        raise SettingsError(f"the configuration is not TOML: {error}") from None
+    table = _parsed(text)
     if "store" in table:
         raise SettingsError("setting store belongs in the instance's own file")
     front = _table(table, "enum")
     for key in sorted(OWN_KEYS & front.keys()):
         raise SettingsError(f"setting enum.{key} belongs in the instance's own file")
-    return read_enum(table | {"enum": {**front, **(own or {})}})
+    return read_enum({**table, "enum": {**front, **(own or {})}})
 
 
 def read_enum(table: Mapping[str, Any]) -> Enum:
--- a/harepick/store/node.py
+++ b/harepick/store/node.py
@@ -29,7 +29,8 @@
 from harepick.store.raft.messages import Entry, HardState, Kind, Message, Snapshot
 
 RENEW = 0.27  # share of a lease after which the next is asked for
-SNAPSHOT_EVERY = 10_000  # entries
+SNAPSHOT_EVERY = 10_000  # entries, or
+SNAPSHOT_BYTES = 32 * 1024 * 1024  # of them, whichever comes first
 MOST_WAITERS = 4_096
 
 
@@ -243,8 +244,10 @@
 
     def snapshot_due(self) -> Snapshot | None:
         """A snapshot to be made durable, if it is time; `compacted` follows."""
-        enough = self.machine.applied - self.raft.snapshot.index >= self._snapshot_every
-        return self.take_snapshot() if enough else None
+        since, applied = self.raft.snapshot.index, self.machine.applied
+        enough = applied - since >= self._snapshot_every
+        large = self.raft.log.size(since + 1, applied) >= SNAPSHOT_BYTES
+        return self.take_snapshot() if enough or large else None
 
     def take_snapshot(self) -> Snapshot | None:
         if self._snapshotting or self.stopped or self.machine.applied <= self.raft.snapshot.index:
--- a/harepick/store/raft/core.py
+++ b/harepick/store/raft/core.py
@@ -43,9 +43,11 @@
 CHUNK = 128 * 1024  # bytes of a snapshot in one message
 MOST_SNAPSHOT = 512 * 1024 * 1024
 MOST_PENDING = 4_096  # entries proposed and not yet committed
+MOST_PENDING_BYTES = 32 * 1024 * 1024
 MOST_READS = 4_096
 CAUGHT_UP = 64  # a learner with so few entries to go becomes a voter
 KEPT = 2_000  # entries kept behind a snapshot, for followers a little behind
+KEPT_BYTES = 16 * 1024 * 1024
 
 _membership = msgspec.msgpack.Decoder(Membership)
 
@@ -315,6 +317,8 @@
             return
         self.snapshot = snapshot
         keep = max(self.log.base_index, snapshot.index - KEPT)
+        while self.log.size(keep + 1, snapshot.index) > KEPT_BYTES:
+            keep = (keep + 1 + snapshot.index) // 2
         if self.log.term(keep) is not None:
             self.log.compact(keep)
         later = [(at, m) for at, m in self._memberships if at > keep]
@@ -448,6 +452,8 @@
             raise BusyError(f"leadership goes to {self._transfer}")
         if self.log.last_index - self.commit >= MOST_PENDING:
             raise BusyError("too many entries wait to be committed")
+        if self.log.size(self.commit + 1, self.log.last_index) + len(data) > MOST_PENDING_BYTES:
+            raise BusyError("too many bytes wait to be committed")
         entry = Entry(self.log.last_index + 1, self.term, kind, data)
         self._append([entry])
         return entry.index, entry.term
--- a/harepick/store/raft/log.py
+++ b/harepick/store/raft/log.py
@@ -12,7 +12,10 @@
 
     def __init__(self, base_index: int = 0, base_term: int = 0, entries: Iterable[Entry] = ()) -> None:
         self.base_index, self.base_term = base_index, base_term
-        self._entries: list[Entry] = list(entries)
+        self._entries: list[Entry] = []
+        self._ends: list[int] = []  # bytes of all entries ever held, up to and with each
+        self._total = 0
+        self.append(list(entries))
         self.stable = self.last_index  # the disk has all up to here
         self.handed = self.last_index  # handed to the disk up to here
 
@@ -38,6 +41,14 @@
     def get(self, index: int) -> Entry:
         return self._entries[index - self.base_index - 1]
 
+    def size(self, low: int, high: int) -> int:
+        """Bytes of the entries from `low` to `high`, as far as they are here."""
+        low, high = max(low, self.base_index + 1), min(high, self.last_index)
+        if low > high:
+            return 0
+        first, last = low - self.base_index - 1, high - self.base_index - 1
+        return self._ends[last] - self._ends[first] + len(self._entries[first].data)
+
     def slice(self, low: int, high: int, most_bytes: int) -> tuple[Entry, ...]:
         """Entries `low` to `high`, both included: one at least, and no more than the bytes allow."""
         taken: list[Entry] = []
@@ -55,11 +66,15 @@
         if entries:
             assert entries[0].index == self.last_index + 1, (entries[0].index, self.last_index)
             self._entries.extend(entries)
+            for entry in entries:
+                self._total += len(entry.data)
+                self._ends.append(self._total)
 
     def cut(self, start: int) -> None:
         """Drops the entries from `start` on."""
         assert start > self.base_index
         del self._entries[start - self.base_index - 1 :]
+        del self._ends[start - self.base_index - 1 :]
         self.stable = min(self.stable, start - 1)
         self.handed = min(self.handed, start - 1)
 
@@ -70,11 +85,13 @@
         term = self.term(index)
         assert term is not None
         del self._entries[: index - self.base_index]
+        del self._ends[: index - self.base_index]
         self.base_index, self.base_term = index, term
 
     def reset(self, index: int, term: int) -> None:
         """An installed snapshot takes the place of all."""
         self._entries.clear()
+        self._ends.clear()
         self.base_index, self.base_term = index, term
         self.stable = self.handed = index
 
--- a/harepick/store/transport.py
+++ b/harepick/store/transport.py
@@ -244,10 +244,11 @@
         self._heard[hello.replica] = scope
         try:
             while True:
+                while (data := frames.ready()) is not None:
+                    self._counters.add("store.heard")
+                    self._receive(hello.replica, wire.peer_message(data))
                 with anyio.fail_after(QUIET):
-                    message = wire.peer_message(await frames.next())
-                self._counters.add("store.heard")
-                self._receive(hello.replica, message)
+                    await frames.fill()
         finally:
             if self._heard.get(hello.replica) is scope:
                 del self._heard[hello.replica]
--- a/harepick/store/wire.py
+++ b/harepick/store/wire.py
@@ -87,18 +87,27 @@
         self._buffer = bytearray()
         self.most = MOST_HELLO
 
+    def ready(self) -> bytes | None:
+        """A frame that is here already; raises `WireError` for one too large."""
+        if len(self._buffer) < LENGTH.size:
+            return None
+        (length,) = LENGTH.unpack_from(self._buffer)
+        if length > self.most:
+            raise WireError(f"a frame of {length} bytes; {self.most} at most")
+        if len(self._buffer) < LENGTH.size + length:
+            return None
+        data = bytes(memoryview(self._buffer)[LENGTH.size : LENGTH.size + length])
+        del self._buffer[: LENGTH.size + length]
+        return data
+
+    async def fill(self) -> None:
+        """Waits for more; raises `anyio.EndOfStream` at the end."""
+        self._buffer += await self._stream.receive(READ)
+
     async def next(self) -> bytes:
-        """Raises `WireError` for one too large, `anyio.EndOfStream` at the end."""
-        while True:
-            if len(self._buffer) >= LENGTH.size:
-                (length,) = LENGTH.unpack_from(self._buffer)
-                if length > self.most:
-                    raise WireError(f"a frame of {length} bytes; {self.most} at most")
-                if len(self._buffer) >= LENGTH.size + length:
-                    data = bytes(memoryview(self._buffer)[LENGTH.size : LENGTH.size + length])
-                    del self._buffer[: LENGTH.size + length]
-                    return data
-            self._buffer += await self._stream.receive(READ)
+        while (data := self.ready()) is None:
+            await self.fill()
+        return data
 
 
 class Typed(Generic[Value]):
--- a/tests/test_enum.py
+++ b/tests/test_enum.py
@@ -166,6 +166,7 @@
         assert client.ask().rcode() == dns.rcode.NOERROR
 
 
+@pytest.mark.alone
 @pytest.mark.parametrize("sick", [False, True])
 def test_500_look_ups_a_second_get_one_answer_each_before_their_deadline(sick: bool) -> None:
     """With `sick`, one of two upstreams goes silent in the middle of the burst."""
--- a/tests/test_store_daemons.py
+++ b/tests/test_store_daemons.py
@@ -207,6 +207,38 @@
             serving(daemon)
 
 
+@pytest.mark.parametrize("whom", ["leader", "follower"])
+def test_one_that_hears_nothing_and_still_speaks_holds_up_nobody(
+    whom: str, upstream: Upstream, tmp_path: Path
+) -> None:
+    """Cut in one direction only, in the middle of changes."""
+    with cluster(3, config_text(("north", upstream.port)), proxies=True) as made:
+        for daemon in made.daemons:
+            serving(daemon)
+        leader = made.leader()
+        deaf = leader if whom == "leader" else next(d for d in made.daemons if d is not leader)
+        path = put(tmp_path, config_text(("south", upstream.port)))
+        made.proxies[deaf.name].cut = True
+        rest = [d for d in made.daemons if d is not deaf]
+        for _ in range(5):
+            made.ask("config", "set", path, at=rest[0])
+        acknowledged = time.time()
+        client = Client(deaf.dns_port)
+        for n in range(20):
+            client.send(client.query(f"{n % 10}.5.e164.arpa."))
+            client.hear(0.3)
+        # It may not know the new revision, and must not act on the old one.
+        assert not [when for when, *_ in upstream.queries if when > acknowledged]
+        for daemon in rest:
+            serving(daemon)
+        terms = {made.status(d)["term"] for d in rest}
+        time.sleep(1.5)
+        assert {made.status(d)["term"] for d in rest} == terms, "the deaf one disturbs elections"
+        made.proxies[deaf.name].cut = False
+        serving(deaf)
+        assert made.status(deaf)["revision"] == 6
+
+
 def test_a_client_is_led_to_the_leader_and_a_repeated_change_counts_once(
     upstream: Upstream, tmp_path: Path
 ) -> None:
--- a/tests/test_store_raft.py
+++ b/tests/test_store_raft.py
@@ -173,6 +173,22 @@
         leader.propose(b"x")
 
 
+class _ReadsWithoutQuorum(Raft):
+    def _confirm(self) -> None:
+        self.reads += [(token, index) for _, index, token in self._waiting]
+        self._waiting = []
+
+
+def test_a_leader_that_is_cut_off_answers_no_read() -> None:
+    for raft, answers in ((Raft, False), (_ReadsWithoutQuorum, True)):
+        cluster = Cluster("a", "b", "c", raft=raft)
+        leader = cluster.lead("a")
+        cluster.down = {"b", "c"}
+        leader.read("question")
+        cluster.settle()
+        assert bool(leader.reads) is answers, raft
+
+
 def test_a_read_needs_a_round_that_began_after_it() -> None:
     cluster = Cluster("a", "b", "c")
     leader = cluster.lead("a")
