Tell an address in use by its key, in one line

Change: listeners that can't be opened are settings errors, found at the start and told with exit code 2. Measured: a second daemon at a used enum.listen or store.listen names the key.

--- a/harepick/__main__.py
+++ b/harepick/__main__.py
@@ -10,7 +10,7 @@
 import os
 import signal
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 import anyio
 
@@ -82,6 +82,14 @@
     return EnumFront(read_operator(path), counters, log, path=path)
 
 
+def _leaves(group: BaseExceptionGroup[SettingsError]) -> Iterator[SettingsError]:
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _leaves(error)
+        else:
+            yield error
+
+
 def main() -> int:
     """Entry point of the command `run` in deploy/balancer.toml."""
     counters = Counters()
@@ -92,6 +100,14 @@
         return 2
     try:
         anyio.run(serve, fronts, counters, log)
+    except BaseExceptionGroup as group:
+        faulty, rest = group.split(SettingsError)
+        if faulty is None or rest is not None:
+            log.event("crashed", error=repr(group))
+            raise
+        for each in _leaves(faulty):  # found only as it started: an address in use, say
+            print(f"harepick: {each}", file=sys.stderr)
+        return 2
     except BaseException as error:
         log.event("crashed", error=repr(error))
         raise
--- a/harepick/enumdns/service.py
+++ b/harepick/enumdns/service.py
@@ -149,8 +149,11 @@
         config, counters, log = self._config, self._counters, self._log
         host, number = config.listen.host, config.listen.port
         change = self.directory.update(self._rows(config), whole=True)
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=number)
-        sock = await anyio.create_udp_socket(local_host=host, local_port=number)
+        try:
+            listener = await anyio.create_tcp_listener(local_host=host, local_port=number)
+            sock = await anyio.create_udp_socket(local_host=host, local_port=number)
+        except OSError as error:
+            raise SettingsError(f"setting enum.listen: {config.listen}: {error.strerror}") from None
         async with listener, sock, anyio.create_task_group() as tasks:
             first = Generation(config, self.directory, counters, log, self._gate)
             self._generations.append(first)
--- a/harepick/store/transport.py
+++ b/harepick/store/transport.py
@@ -80,9 +80,13 @@
         self.serve_tool: Serve | None = None
 
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
-        listener = await anyio.create_tcp_listener(
-            local_host=self._listen.host, local_port=self._listen.port, backlog=256
-        )
+        where = self._listen
+        try:
+            listener = await anyio.create_tcp_listener(
+                local_host=where.host, local_port=where.port, backlog=256
+            )
+        except OSError as error:
+            raise SettingsError(f"setting store.listen: {where}: {error.strerror}") from None
         async with listener, anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(listener.serve, self._accept)
--- a/tests/test_store_daemons.py
+++ b/tests/test_store_daemons.py
@@ -21,7 +21,7 @@
 from harepick.store.client import StoreClient, StoreError
 from harepick.store.wire import Hello, Welcome
 from tests.dnspeers import Client, Upstream
-from tests.peers import until
+from tests.peers import free_port, until
 
 
 @pytest.fixture
@@ -494,6 +494,20 @@
     assert len(done.stderr.strip().splitlines()) == 1
 
 
+def test_an_address_in_use_is_told_by_its_key(upstream: Upstream, tmp_path: Path) -> None:
+    with cluster(1, config_text(("north", upstream.port))) as made:
+        daemon = made.daemons[0]
+        serving(daemon)
+        for key in ("enum.listen", "store.listen"):
+            text = daemon.path.read_text().replace(str(made.folder / "r0"), str(tmp_path / "other"))
+            mine = str(daemon.store_port if key == "enum.listen" else daemon.dns_port)
+            path = tmp_path / "second.toml"
+            path.write_text(text.replace(mine, str(free_port())))
+            (tmp_path / "first.toml").write_text(made.first.read_text())
+            told = made.tool("run", "--operator", str(path), code=2)
+            assert f"setting {key}" in told and "already in use" in told.lower()
+
+
 def test_nothing_of_the_store_is_loaded_where_it_is_off() -> None:
     import subprocess
     import sys
