Lose one replica at every step of a change, in five ways, and see it take effect once

Need: the issue's first hard case, step by step rather than by chance. Change: a quiet world in which leader or follower is killed, loses power, pauses, goes deaf or mute after each step of a change. Measured: 450 worlds, each with one answer and the change in every history once.

--- a/benchmarks/store_model.py
+++ b/benchmarks/store_model.py
@@ -119,6 +119,9 @@
             self.steps += 1
             what()
 
+    def next_due(self) -> float:
+        return self._queue[0][0]
+
     def clock(self, host: Host) -> float:
         return self.now * host.rate + host.offset
 
--- a/tests/test_store_model.py
+++ b/tests/test_store_model.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+
 import pytest
 
 from benchmarks.store_model import Host, ViolationError, World, play
 from harepick.store.disk.storage import Storage
-from harepick.store.raft.core import Raft, Writes
+from harepick.store.machine import Done, Envelope, Put
+from harepick.store.raft.core import BusyError, NotLeaderError, Raft, Role, Writes
 from harepick.store.raft.messages import Message, PreVote, PreVoteReply, Vote
 
 
@@ -111,3 +114,74 @@
 
     assert first() == first()
     assert "stale act" in first()[1]
+
+
+class Quiet(World):
+    """No troubles but the one that a test brings, and no clients but its own."""
+
+    def __init__(self, seed: int, replicas: int) -> None:
+        super().__init__(seed, replicas)
+        self.loss = self.repeat = 0.0
+        self.delay = 0.004
+
+    def _client(self) -> None: ...
+
+    def _reader(self) -> None: ...
+
+    def _trouble(self) -> None: ...
+
+    def leader(self) -> Host:
+        return next(h for h in self.hosts.values() if h.node and h.node.raft.role is Role.LEADER)
+
+    def change(self, text: str, answers: list[object]) -> None:
+        """Asked of every replica until one of them has answered, always under the same number."""
+
+        def ask() -> None:
+            if answers:
+                return
+            self.at(0.25, ask)
+            for host in list(self.hosts.values()):
+                if host.node and not host.paused:
+                    self._run(host, host.life, lambda host=host: self._ask(host, text, answers))  # type: ignore[misc]
+
+        ask()
+
+    def _ask(self, host: Host, text: str, answers: list[object]) -> None:
+        def answered(answer: object) -> None:
+            if isinstance(answer, Done):
+                answers.append(answer)
+                self.acknowledged = max(self.acknowledged, answer.revision)
+
+        assert host.node
+        with suppress(NotLeaderError, BusyError):
+            host.node.change(Envelope("session", 1, Put(text)), answered)
+
+
+@pytest.mark.parametrize("role", ["leader", "follower"])
+@pytest.mark.parametrize("loss", ["killed", "power", "paused", "deaf", "mute"])
+def test_one_replica_lost_at_every_step_of_a_change(loss: str, role: str) -> None:
+    """The change takes effect once, in bounded time, and nothing acts on what was before it once it is
+    told."""
+    for step in range(0, 90, 2):
+        world = Quiet(7, 3)
+        world.play(2.0)
+        leader = world.leader()
+        host = leader if role == "leader" else next(h for h in world.hosts.values() if h is not leader)
+        answers: list[object] = []
+        before = world.steps
+        world.change("wanted", answers)
+        while world.steps < before + step:
+            world.play(world.next_due())
+        if loss == "killed" or loss == "power":
+            world._crash(host, power=loss == "power")
+        elif loss == "paused":
+            world._pause(host)
+        else:
+            for other in world.hosts:
+                world.cuts.add((other, host.name) if loss == "deaf" else (host.name, other))
+        world.play(world.now + 6.0)
+        assert len(set(map(str, answers))) == 1, (step, answers)
+        world.cuts.clear()
+        world.play(world.now + 3.0)
+        for each in world.hosts.values():
+            assert each.node and [r.text for r in each.node.machine.history()] == ["wanted"], step
