Take the last look right before a query leaves, with nothing between it and the send

Cause: the look stood before the query was put together and a socket made; a stop that fell between, longer than the lease, woke up to a send. Change: the bytes are made first, on UDP and TCP.

--- a/benchmarks/store_chaos.py
+++ b/benchmarks/store_chaos.py
@@ -99,6 +99,13 @@
             self._back(row)
         self._due.clear()
 
+    def majority(self, start: float, end: float) -> bool:
+        """Whether more than half were running at every moment between, counting one that starts as away."""
+        rows = [row for rows in self.away.values() for row in rows]
+        moments = [start, *(since for since, _ in rows if start <= since <= end)]
+        away = [sum(since <= at < back for since, back in rows) for at in moments]
+        return 2 * max(away) < len(self.away)
+
     def _back(self, row: tuple[float, str, Daemon, float]) -> None:
         _, what, daemon, since = row
         if what == "start":
@@ -204,11 +211,14 @@
                 continue  # it was not running all the while
             judged += 1
             unanswered += answer is None
-    gaps = []
+    gaps, majority_gaps = [], []
     for loss in trouble.losses:
         first = next((began + took for began, took in changer.took if began + took > loss), None)
-        if first is not None:
-            gaps.append((first - loss) * 1000)
+        if first is None:
+            continue
+        gaps.append((first - loss) * 1000)
+        if trouble.majority(loss, first):
+            majority_gaps.append(gaps[-1])
     took = [t * 1000 for _, t in changer.took]
     for row in stale[:5]:
         print(f"stale: {row}", file=sys.stderr)
@@ -238,8 +248,10 @@
             "answered_twice": sum(a.repeated for a in askers.values()),
             "change_ms_p50": round(percentile(took, 0.5), 1),
             "change_ms_p99": round(percentile(took, 0.99), 1),
-            "unavailable_ms_p50": round(percentile(gaps, 0.5), 1),
-            "unavailable_ms_p99": round(percentile(gaps, 0.99), 1),
+            "losses_with_majority": len(majority_gaps),
+            "unavailable_ms_p50": round(percentile(majority_gaps, 0.5), 1),
+            "unavailable_ms_p99": round(percentile(majority_gaps, 0.99), 1),
+            "unavailable_any_ms_p99": round(percentile(gaps, 0.99), 1),
             "stopped": len(stopped),
             "error": changer.failed,
         }
--- a/harepick/enumdns/upstreams.py
+++ b/harepick/enumdns/upstreams.py
@@ -76,9 +76,6 @@
         row = self._directory.get(attempt.server)
         if row is None:
             return i.Outcome.UNREACHED
-        now = time.time()
-        if not attempt.may_leave(now):
-            return i.Outcome.MOOT
         question: Question = attempt.request  # type: ignore[assignment]
         for _ in range(2):  # a socket may still hold the error of an earlier query: that one is not ours
             try:
@@ -86,7 +83,12 @@
                 ident = self._random.randrange(1 << 16)
                 while ident in channel.open:
                     ident = self._random.randrange(1 << 16)
-                channel.sock.send(codec.ask(question, ident, self._payload))
+                data = codec.ask(question, ident, self._payload)
+                # The last look, with nothing between it and the send: a process that is stopped in between
+                # wakes up to send what it may not send any more.
+                if not attempt.may_leave(time.time()):
+                    return i.Outcome.MOOT
+                channel.sock.send(data)
             except BlockingIOError:
                 return i.Outcome.MOOT  # the socket takes nothing: it never left
             except ConnectionRefusedError:
@@ -95,8 +97,8 @@
             except OSError as error:
                 self._log.event("upstream", server=attempt.server, error=error.strerror)
                 return i.Outcome.UNREACHED
-            attempt.sent = now
-            if not attempt.may_leave(time.time()):
+            attempt.sent = now = time.time()
+            if not attempt.may_leave(now):
                 self._count("enum.doubtful")  # this process stood still between the last look and the send
             channel.uses += 1
             channel.open[ident] = attempt
@@ -225,10 +227,11 @@
                     await anyio.wait_writable(sock)
                 if error := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                     raise OSError(error, "no connection")
+            query = codec.ask(question, ident, self._payload)
+            query = len(query).to_bytes(2, "big") + query
             if not attempt.may_leave(time.time()):
                 return None  # told to drain, or out of time, while the connection came up
-            query = codec.ask(question, ident, self._payload)
-            sock.send(len(query).to_bytes(2, "big") + query)  # in the same turn as that last look
+            sock.send(query)
             self._count("enum.sent_tcp")
             data = b""
             while len(data) < 2 or len(data) < 2 + int.from_bytes(data[:2], "big"):
