Begin number gapping: the pure decider of one instance, attached to nothing yet

Change: design note with where it differs from E.412 and Q.1248, gaps by number, prefix, class and zone with slots, inheritance and turns taken at all gaps or at none, checked against a plain model.

--- /dev/null
+++ b/benchmarks/gap_cost.py
@@ -0,0 +1,60 @@
+"""What a decision costs with many gaps set, and what they weigh.
+
+python -m benchmarks.gap_cost --seconds 5 --seed 1
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+import tracemalloc
+from random import Random
+
+from benchmarks.daemons import print_line
+from harepick.gapping.gaps import Call, Gap, Gaps
+
+AIM_US = 5.0
+
+
+def filled(count: int, rng: Random) -> Gaps:
+    """Half by number, half by prefixes of all lengths."""
+    gaps = Gaps()
+    for n in range(count):
+        digits = "".join(rng.choices("0123456789", k=rng.randint(4, 14)))
+        criterion = {"number": f"+9{digits}"} if n % 2 else {"prefix": f"+9{digits}"}
+        gaps.set(Gap(f"g{n}", 1.0, **criterion), 0.0)  # type: ignore[arg-type]
+    return gaps
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--seed", type=int, default=1)
+    wanted = parser.parse_args()
+    rng = Random(wanted.seed)
+    calls = [Call("+9" + "".join(rng.choices("0123456789", k=10)), "claim") for _ in range(2_000)]
+    line: dict[str, object] = {"benchmark": "gap_cost", "seed": wanted.seed}
+    slowest = 0.0
+    for count in (0, 1_000, 100_000):
+        tracemalloc.start()
+        gaps = filled(count, Random(wanted.seed))
+        line[f"memory_mb_{count}"] = round(tracemalloc.get_traced_memory()[0] / 1e6, 1)
+        tracemalloc.stop()
+        spans = []
+        end = time.perf_counter() + wanted.seconds / 3
+        while time.perf_counter() < end:
+            began = time.perf_counter()
+            for n, call in enumerate(calls):
+                gaps.decide(call, n * 0.001)
+            spans.append((time.perf_counter() - began) / len(calls) * 1e6)
+        spans.sort()
+        line[f"decision_us_{count}"] = round(spans[len(spans) // 2], 2)
+        slowest = spans[len(spans) // 2]
+    return print_line(line | {"aim_us": AIM_US, "ok": slowest < AIM_US})
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/harepick/gapping/__init__.py
@@ -0,0 +1,2 @@
+"""Number gapping: at most so many calls an interval to a number or prefix. `docs/design/gapping.md`: what
+stands."""
--- /dev/null
+++ b/tests/test_gaps.py
@@ -0,0 +1,177 @@
+"""The gaps of one instance: order, turns and bounds, against a plain model of the rules."""
+
+from __future__ import annotations
+
+from math import floor, inf
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from harepick.gapping.gaps import NONE, Call, Gap, GapError, Gaps
+
+CLAIM = "+94112345678"
+
+
+def passed(gaps: Gaps, number: str, *times: float) -> list[bool]:
+    return [gaps.decide(Call(number), now).passed for now in times]
+
+
+def test_one_call_a_slot_passes_and_an_unused_slot_is_not_saved_up() -> None:
+    gaps = Gaps()
+    gaps.set(Gap("radio", 1.0, number=CLAIM, start=10.0), 10.0)
+    assert passed(gaps, CLAIM, 9.9, 9.95) == [True, True], "it has not begun"
+    assert passed(gaps, CLAIM, 10.0, 10.5, 10.99, 11.0, 11.1) == [True, False, False, True, False]
+    assert passed(gaps, CLAIM, 15.0, 15.1, 15.2) == [True, False, False]
+    assert passed(gaps, "+94112345679", 15.0, 15.1) == [True, True]
+    verdict = gaps.decide(Call(CLAIM), 15.25)
+    assert verdict.gap == "radio" and verdict.come_back == pytest.approx(0.75)
+
+
+def test_a_clock_that_goes_back_gives_no_second_turn() -> None:
+    gaps = Gaps()
+    gaps.set(Gap("g", 1.0, number=CLAIM), 0.0)
+    assert passed(gaps, CLAIM, 5.5, 4.5, 3.0, 5.9, 6.0) == [True, False, False, False, True]
+
+
+def test_a_gap_that_ends_as_a_call_comes_lets_it_pass() -> None:
+    gaps = Gaps()
+    gaps.set(Gap("g", NONE, number=CLAIM, end=20.0), 0.0)
+    assert passed(gaps, CLAIM, 19.999, 20.0) == [False, True]
+    assert [gap.id for gap in gaps.expire(20.0)] == ["g"] and not len(gaps)
+
+
+def test_an_overlapping_prefix_counts_with_inherit_and_not_without() -> None:
+    for inherit, second in ((True, False), (False, True)):
+        gaps = Gaps()
+        gaps.set(Gap("district", 1.0, prefix="+9411"), 0.0)
+        gaps.set(Gap("claim", 1.0, number=CLAIM, inherit=inherit), 0.0)
+        assert passed(gaps, "+94119999999", 5.0) == [True], "the district's turn"
+        assert passed(gaps, CLAIM, 5.1) == [second]
+        # Refused by the district, it has not used up its own turn.
+        assert passed(gaps, CLAIM, 6.0) == [True]
+        rows = [gap.id for gap, _ in gaps.explain(Call(CLAIM), 6.5)]
+        assert rows == (["claim", "district"] if inherit else ["claim"])
+
+
+def test_interval_0_with_a_narrow_criterion_exempts_a_number() -> None:
+    gaps = Gaps()
+    gaps.set(Gap("district", NONE, prefix="+94"), 0.0)
+    gaps.set(Gap("hospital", 0.0, number="+94110", inherit=False), 0.0)
+    assert passed(gaps, "+94110", 1.0, 1.1) == [True, True]
+    assert passed(gaps, "+94111", 1.0) == [False]
+
+
+def test_a_gap_set_again_keeps_its_turn_and_a_changed_one_goes_by_its_new_slots() -> None:
+    gaps = Gaps()
+    gaps.set(Gap("g", 10.0, number=CLAIM), 0.0)
+    assert passed(gaps, CLAIM, 1.0) == [True]
+    gaps.set(Gap("g", 10.0, number=CLAIM, reason="again"), 2.0)
+    assert passed(gaps, CLAIM, 2.0) == [False] and len(gaps) == 1
+    gaps.set(Gap("g", 1.0, number=CLAIM), 3.0)
+    assert passed(gaps, CLAIM, 3.0, 3.5, 4.0) == [True, False, True]
+    assert gaps.counts()["g"] == (5, 3, 2)
+
+
+@pytest.mark.parametrize(
+    ("key", "gap"),
+    [
+        ("number", Gap("g", 1.0, number="+94abc")),
+        ("number", Gap("g", 1.0, number="+9٤")),
+        ("prefix", Gap("g", 1.0, prefix="94")),
+        ("prefix", Gap("g", 1.0, prefix="+95", number="+94")),
+        ("id", Gap("", 1.0, prefix="+94")),
+        ("number, prefix, class and zone", Gap("g", 1.0)),
+        ("interval", Gap("g", -1.0, prefix="+94")),
+        ("interval", Gap("g", float("nan"), prefix="+94")),
+        ("count", Gap("g", 1.0, prefix="+94", count=0)),
+        ("end", Gap("g", 1.0, prefix="+94", end=4.0)),
+        ("class", Gap("g", 1.0, call_class="fly")),
+    ],
+)
+def test_a_bad_gap_names_its_key_and_changes_nothing(key: str, gap: Gap) -> None:
+    gaps = Gaps()
+    gaps.set(Gap("g", 7.0, prefix="+94"), 0.0)
+    with pytest.raises(GapError) as caught:
+        gaps.set(gap, 5.0, ["claim"])
+    assert str(caught.value).startswith(key)
+    assert gaps.explain(Call("+94"), 5.0)[0][0].interval == 7.0 and len(gaps) == 1
+
+
+NUMBERS = ["+941", "+942", "+9411", "+9412", "+94111"]
+
+
+class Model(RuleBasedStateMachine):
+    """Every call's verdict against the rules written out plainly."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.gaps, self.now = Gaps(), 0.0
+        self.set_: dict[str, Gap] = {}
+        self.slot: dict[str, int] = {}
+        self.taken: dict[str, int] = {}
+
+    @rule(
+        name=st.sampled_from("abc"),
+        interval=st.sampled_from((0.0, 1.0, 2.5, NONE)),
+        number=st.sampled_from(("", "+9411", "+94111")),
+        prefix=st.sampled_from(("+", "+94", "+941", "+9411")),
+        call_class=st.sampled_from(("", "claim")),
+        count=st.integers(1, 2),
+        inherit=st.booleans(),
+    )
+    def set_gap(
+        self, name: str, interval: float, number: str, prefix: str, call_class: str, count: int, inherit: bool
+    ) -> None:
+        prefix = "" if number else prefix
+        gap = Gap(
+            name,
+            interval,
+            number,
+            prefix if prefix != "+" else "+9",
+            call_class,
+            count=count,
+            inherit=inherit,
+        )
+        old = self.set_.get(name)
+        self.gaps.set(gap, self.now)
+        if old is None or old.interval != gap.interval:
+            self.slot[name], self.taken[name] = -1, 0
+        self.set_[name] = gap
+
+    @rule(name=st.sampled_from("abc"))
+    def lift(self, name: str) -> None:
+        assert self.gaps.lift(name) == self.set_.pop(name, None)
+
+    @rule(step=st.sampled_from((0.1, 0.5, 1.0, 4.0, -1.5)))
+    def pass_time(self, step: float) -> None:
+        self.now = max(0.0, self.now + step)
+
+    @rule(number=st.sampled_from(NUMBERS), call_class=st.sampled_from(("", "claim")))
+    def call(self, number: str, call_class: str) -> None:
+        rows = [g for g in self.set_.values() if g.fits(Call(number, call_class))]
+        rows.sort(key=lambda g: (g.specific, g.id), reverse=True)
+        stop = next((n + 1 for n, g in enumerate(rows) if not g.inherit), len(rows))
+        passes = True
+        for gap in rows[:stop]:
+            if gap.interval in (0.0, inf):
+                passes &= gap.interval == 0.0
+                continue
+            slot = floor(self.now / gap.interval)
+            if slot > self.slot[gap.id]:
+                self.slot[gap.id], self.taken[gap.id] = slot, 0
+            passes &= self.taken[gap.id] < gap.count
+        for gap in rows[:stop]:
+            self.taken[gap.id] += passes
+        verdict = self.gaps.decide(Call(number, call_class), self.now)
+        assert verdict.passed is passes
+        assert verdict.passed or verdict.come_back >= 0.0
+
+    @invariant()
+    def same(self) -> None:
+        assert len(self.gaps) == len(self.set_)
+
+
+Model.TestCase.settings = settings(max_examples=150, stateful_step_count=40, deadline=None, derandomize=True)
+TestModel = Model.TestCase
