Tell the core only of upstreams that a configuration changed

Need: at a hundred changes a second every revision sent the whole list through the module on each instance. Change: a revision that alters nothing costs the core nothing, and one that alters an upstream tells that one; the benchmark's changes now drain an upstream and take it back, so that they are real ones.

--- a/benchmarks/store_cost.py
+++ b/benchmarks/store_cost.py
@@ -83,7 +83,9 @@
             while not pipe.poll():
                 await anyio.sleep(max(0.0, start + count * self._writers / self._rate - time.monotonic()))
                 began = time.monotonic()
-                await client.call("set", {"text": f"# {n} {count}\n" + self._text}, 20.0)
+                # Each drains the second upstream, or takes it back: a change that the core has to hear of.
+                text = self._text + ("draining = true\n" if (n + count) % 2 else "")
+                await client.call("set", {"text": text}, 20.0)
                 took.append((time.time(), (time.monotonic() - began) * 1000))
                 count += 1
 
@@ -147,11 +149,11 @@
         daemon.kill()
 
 
-def leader_lost(made: Cluster) -> tuple[float, float]:
+def leader_lost(made: Cluster, text: str) -> tuple[float, float]:
     """Kills the leader: ms until another leads, and until a change is acknowledged again."""
     leader = made.leader()
     rest = [d for d in made.daemons if d is not leader]
-    writers = Writers(made, made.ask("config", "get"), 50.0, 1)
+    writers = Writers(made, text, 50.0, 1)
     time.sleep(1.0)
     killed = time.time()
     leader.kill()
@@ -199,8 +201,8 @@
 
 
 def measure(wanted: argparse.Namespace, folder: Path) -> int:
-    upstreams = Upstreams(1)
-    text = config_text(("north", upstreams.ports[0]))
+    upstreams = Upstreams(2)
+    text = config_text(("north", upstreams.ports[0]), ("south", upstreams.ports[1]))
     port, *spare = free_ports(5)
     off = Daemon("off", folder, port, 0, f'[enum]\nlisten = "{HOST}:{port}"\n' + text)
     made = Cluster(3, folder, text)
@@ -236,7 +238,7 @@
                 victim.resume()
                 time.sleep(0.3)
         memory = {"off": off.memory_mb(), "store": on.memory_mb(), "leader": leader.memory_mb()}
-        losses = [leader_lost(made) for _ in range(3)]
+        losses = [leader_lost(made, text) for _ in range(3)]
         cold = two_cold(made)
     finally:
         off.kill()
--- a/harepick/enumdns/service.py
+++ b/harepick/enumdns/service.py
@@ -125,9 +125,14 @@
         old, self._config = self._config, config
         if self._front is None:
             return  # not up yet: it starts with this one
+        if config == old:
+            return
+        before = set(self.directory.entries())
         change = self.directory.update(self._rows(config), whole=True)
-        for generation in self._generations:
-            generation.told(change)
+        news = tuple(entry for entry in change.entries if entry not in before)
+        if news:
+            for generation in self._generations:
+                generation.told(i.ServerList(i.ListKind.CHANGES, news))
         if replace(config, upstreams=(), routes=()) != replace(old, upstreams=(), routes=()) or self._wanted:
             self._wanted = config
             self._changed.set()
