--- a/harepick/store/node.py
+++ b/harepick/store/node.py
@@ -19,13 +19,11 @@
     Envelope,
     FormatError,
     Machine,
-    Put,
     Result,
     Revision,
-    RollBack,
     encode,
 )
-from harepick.store.raft.core import BusyError, NotLeaderError, Raft, Role, Writes
+from harepick.store.raft.core import BusyError, Raft, Role, Writes
 from harepick.store.raft.messages import Entry, HardState, Kind, Message, Snapshot
 
 RENEW = 0.27  # share of a lease after which the next is asked for
@@ -406,22 +404,3 @@
             else:
                 waiting.append((index, read))
         self._reads = waiting
-
-
-def is_change(envelope: Envelope) -> bool:
-    """Whether the command makes a new revision."""
-    return isinstance(envelope.body, Put | RollBack)
-
-
-__all__ = [
-    "Adopted",
-    "Answer",
-    "Ask",
-    "Grant",
-    "Lost",
-    "Node",
-    "NotLeaderError",
-    "PeerMessage",
-    "Propose",
-    "Told",
-]
