--- a/harepick/enumdns/upstreams.py
+++ b/harepick/enumdns/upstreams.py
@@ -232,6 +232,8 @@
             if not attempt.may_leave(time.time()):
                 return None  # told to drain, or out of time, while the connection came up
             sock.send(query)
+            if not attempt.may_leave(time.time()):
+                self._count("enum.doubtful")
             self._count("enum.sent_tcp")
             data = b""
             while len(data) < 2 or len(data) < 2 + int.from_bytes(data[:2], "big"):
--- a/harepick/store/raft/core.py
+++ b/harepick/store/raft/core.py
@@ -565,13 +565,20 @@
         self.commit = max(self.commit, min(message.commit, last))
         self._later(sender, AppendReply(self.term, True, last, rounds))
 
-    def _on_append_reply(self, sender: str, message: AppendReply) -> None:
+    def _replied(self, sender: str, at_round: int) -> Progress | None:
+        """A follower's reply shows that it is there, and confirms reads; None if it is not ours to hear."""
         progress = self.progress.get(sender)
         if self.role is not Role.LEADER or progress is None:
-            return
+            return None
         progress.active = True
-        progress.round = max(progress.round, message.round)
+        progress.round = max(progress.round, at_round)
         self._confirm()
+        return progress
+
+    def _on_append_reply(self, sender: str, message: AppendReply) -> None:
+        progress = self._replied(sender, message.round)
+        if progress is None:
+            return
         if message.ok:
             if progress.matched(message.index):
                 self._advance()
@@ -666,12 +673,9 @@
         self._later(sender, InstallReply(self.term, message.index, len(held), message.round, done=True))
 
     def _on_install_reply(self, sender: str, message: InstallReply) -> None:
-        progress = self.progress.get(sender)
-        if self.role is not Role.LEADER or progress is None:
+        progress = self._replied(sender, message.round)
+        if progress is None:
             return
-        progress.active = True
-        progress.round = max(progress.round, message.round)
-        self._confirm()
         if message.done:
             if progress.matched(message.index):
                 self._advance()
