--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -70,11 +70,18 @@
         # on before that would never end, and would stay open in its view of that server.
         self._leaving: list[Entry] = []
         self._controller = Controller(settings, seed, clock())
+        self.unavailable = 0  # listed servers that the module avoids, as of the last batch
+        self._closing = False
 
     @property
     def idle(self) -> bool:
         return len(self._ledger) == 0
 
+    @property
+    def members(self) -> int:
+        """Servers in the list that are not gone."""
+        return len(self._listed)
+
     @property
     def owing(self) -> int:
         """Calls that still wait for their final answer."""
@@ -115,15 +122,23 @@
         for entry in self._leaving:
             self._ledger.close(entry)
         self._leaving.clear()
+        # Published for the `ops` listener, which must not reach into the module that this task owns.
+        self.unavailable = len(self._controller.avoided() & self._listed.keys())
 
     def give_up(self) -> None:
-        """The end of the program: fails what is unanswered and releases what stands."""
+        """The end of a drain: fails what is unanswered, and from now on refuses what comes at once.
+
+        What stands goes on: it ends by itself, or is released by `release_all`."""
+        self._closing = True
         for entry in self._ledger.unanswered():
             self._counters.add("answers.failed")
             entry.answered = True
             entry.offer.caller.failed()
             if entry.out:
                 self._servers.cancel(entry.out)
+
+    def release_all(self) -> None:
+        """The end of the program: releases what still stands."""
         for entry in self._ledger.standing():
             self._servers.release(str(entry.standing_at), entry.offer.call)
             entry.offer.caller.over(cut=True)
@@ -160,6 +175,10 @@
             self._counters.add("calls.clashes")
             offer.caller.clashes()
             return []
+        if self._closing:  # drained: a successor, or this program after its restart, takes it
+            self._counters.add("answers.closing")
+            offer.caller.refused(self._settings.max_advice)
+            return []
         if self._ledger.full:  # memory is bounded; the caller is told to stay away as long as it can be
             self._counters.add("answers.no_room")
             offer.caller.refused(self._settings.max_advice)
--- a/harepick/decide.py
+++ b/harepick/decide.py
@@ -219,6 +219,10 @@
                     self._report(event.server, event.report)
         return self.actions
 
+    def avoided(self) -> set[str]:
+        """Listed servers that fresh calls go to no more: told off, or shut by their occupancy."""
+        return {s.id for s in self.servers.values() if not s.gone and (s.told_off is not None or not s.u)}
+
     # What is heard
 
     def _listed(self, event: i.ServerList) -> None:
--- a/harepick/net/callers.py
+++ b/harepick/net/callers.py
@@ -25,6 +25,7 @@
 from harepick.net.setups import BadSetUpError, SetUps
 
 NORMAL, RESET, CONGESTION, FAILURE = 16, 41, 42, 41  # causes of Q.850 in releases
+RETRY_CAUSES = (34, 42, 102)  # a release with one of these is a refusal: trying again is harmless
 NO_TYPE = 97
 SEND_TIMEOUT = 5.0  # a caller that takes nothing for so long has its connection closed
 WAITING = 4_096  # releases kept for the next connection
@@ -39,17 +40,20 @@
     hub: Callers
     connection: Connection
     call: bytes
+    lane: str  # its class, for the figures
 
     def stands(self, description: bytes) -> None:
-        self.hub.write(self.connection, Item(self.call, binary.answer(self.call, description), "answer"))
+        item = Item(self.call, binary.answer(self.call, description), "answer")
+        self.hub.write(self.connection, item, self.lane, "completed")
 
     def refused(self, stay_away: float) -> None:
         wait = round(stay_away * 1000) if stay_away > 0 else None
         data = binary.release(self.call, CONGESTION, wait)
-        self.hub.write(self.connection, Item(self.call, data, "final"))
+        self.hub.write(self.connection, Item(self.call, data, "final"), self.lane, "rejected")
 
     def failed(self) -> None:
-        self.hub.write(self.connection, Item(self.call, binary.release(self.call, FAILURE), "final"))
+        item = Item(self.call, binary.release(self.call, FAILURE), "final")
+        self.hub.write(self.connection, item, self.lane, "failed")
 
     def over(self, *, cut: bool) -> None:
         data = binary.release(self.call, RESET if cut else NORMAL)
@@ -78,6 +82,11 @@
         self._room = Room(most, counters)
         self._waiting: deque[Item] = deque(maxlen=WAITING)
 
+    @property
+    def pending(self) -> int:
+        """Set-ups taken that wait for their final answer: the figure `pending`."""
+        return sum(len(connection.open) for connection in self._room.connections)
+
     @property
     def unwritten(self) -> int:
         return sum(len(connection.outbox) for connection in self._room.connections)
@@ -189,9 +198,11 @@
         except BadSetUpError as error:
             self._counters.add("callers.bad_set_ups")
             connection.bad += 1
-            self.write(connection, Item(message.call, binary.release(message.call, error.cause), "final"))
+            item = Item(message.call, binary.release(message.call, error.cause), "final")
+            lane = self._set_ups.known(message.parameters.get(binary.CLASS, b""))
+            self.write(connection, item, lane, "rejected" if error.cause in RETRY_CAUSES else "failed")
             return
-        caller = BinaryCaller(self, connection, message.call)
+        caller = BinaryCaller(self, connection, message.call, set_up.request.class_name.decode())
         if message.call in connection.open:
             self._counters.add("calls.clashes")
             connection.scope.cancel()
@@ -219,8 +230,9 @@
 
     # Towards the caller
 
-    def write(self, connection: Connection, item: Item) -> None:
-        """To this connection or to none; one that takes nothing is closed."""
+    def write(self, connection: Connection, item: Item, lane: str | None = None, result: str = "") -> None:
+        """To this connection or to none; one that takes nothing is closed. A final answer that goes out
+        is counted under its class `lane` as `result`."""
         if item.kind in ("answer", "final"):
             item.caller = connection.open.pop(item.call, None)
         if not connection.alive:
@@ -230,8 +242,11 @@
                 connection.open[item.call] = item.caller
             self._counters.add("callers.too_slow")
             connection.scope.cancel()
-        elif item.kind == "answer":
-            self._room.stands(connection, item.call)
+        else:
+            if lane is not None:
+                self._counters.answered(lane, result)
+            if item.kind == "answer":
+                self._room.stands(connection, item.call)
 
     def release(self, connection: Connection, item: Item) -> None:
         self._room.over(item.call)
--- a/harepick/net/line.py
+++ b/harepick/net/line.py
@@ -255,6 +255,8 @@
                     await stream.send(b"".join(data for _, data in parts))
             except (TimeoutError, anyio.BrokenResourceError, anyio.ClosedResourceError):
                 failed = True
+            else:  # the figure `upstream_requests_total`: set-ups whose last byte the kernel has taken
+                self._count("servers.invites_written", sum(isinstance(item, Attempt) for item, _ in parts))
             for item, _ in parts:
                 if isinstance(
                     item, Cancel
--- a/harepick/net/service.py
+++ b/harepick/net/service.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import fields
 from socket import SO_RCVBUF, SOL_SOCKET
+from typing import TYPE_CHECKING
 
 import anyio
 from anyio.abc import SocketAttribute, SocketListener, TaskStatus
@@ -20,6 +21,9 @@
 from harepick.net.servers import Servers
 from harepick.settings import Platform, SettingsError, read_platform
 
+if TYPE_CHECKING:
+    from harepick.ops import Telemetry
+
 STILL_COMING = 0.8  # after SIGTERM, connections and set-ups still come for so long
 LONGEST_GRACE = 3.0  # SIGKILL comes this, or the longest deadline if shorter, and 0.7 s after SIGTERM
 FLUSH = 0.2
@@ -31,6 +35,9 @@
         self._config, self._environ, self._counters, self._log = config, environ, counters, log
         self._directory = Directory()
         self._bus: Bus | None = None
+        self._engine: Engine | None = None
+        self._callers: Callers | None = None
+        self._serving = False  # the readiness that `ops` tells: listening, and not stopping
         try:
             self._known = self._directory.load(config.known)
         except DirectoryError as error:
@@ -58,6 +65,23 @@
         self._counters.add("reload.files")
         self._log.event("reloaded", bus=str(config.bus), waiting_for_restart=waiting)
 
+    def ready(self) -> bool:
+        return self._serving
+
+    def telemetry(self) -> Telemetry:
+        from harepick.ops import Telemetry
+
+        counters = self._counters
+        return Telemetry(
+            lanes=counters.lanes(),
+            upstream_requests=counters["servers.invites_written"],
+            pending=self._callers.pending if self._callers else 0,
+            members=self._engine.members if self._engine else 0,
+            members_unavailable=self._engine.unavailable if self._engine else 0,
+            config_reloads=counters["reload.files"],
+            config_reload_errors=counters["reload.bad_files"],
+        )
+
     async def run(
         self, stop: anyio.Event, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
@@ -73,12 +97,19 @@
             config.idle_close,
             most_lines=config.sockets // 4,
         )
-        engine = Engine(module, config.seed, servers, inbox, counters, log, config.open_cap)
-        callers = Callers(module.classes, inbox, counters, log, most=config.sockets // 2)
+        engine = self._engine = Engine(module, config.seed, servers, inbox, counters, log, config.open_cap)
+        callers = self._callers = Callers(module.classes, inbox, counters, log, most=config.sockets // 2)
         bus = self._bus = Bus(config.bus, directory, inbox, servers, counters, log)
         where = config.listen
-        listener = await anyio.create_tcp_listener(local_host=where.host, local_port=where.port)
+        # SO_REUSEPORT: a process that is to take over listens beside this one (docs/design/operating.md).
+        listener = await anyio.create_tcp_listener(
+            local_host=where.host, local_port=where.port, reuse_port=True
+        )
         async with listener, anyio.create_task_group() as tasks:
+            if config.ops:  # off unless configured: not even loaded then
+                from harepick.ops import OpsListener
+
+                await tasks.start(OpsListener(config.ops, self, counters, log).run)
             await tasks.start(servers.run)
             tasks.start_soon(engine.run, self._known)
             tasks.start_soon(bus.run)
@@ -88,10 +119,13 @@
                 each.extra(SocketAttribute.raw_socket).setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE)
                 tasks.start_soon(callers.listen, each)
             log.event("listening", front="platform", listen=str(where), offset=directory.offset)
+            self._serving = True
             task_status.started()
             await stop.wait()
+            self._serving = False  # a successor that says yes takes the new requests
             grace = min(LONGEST_GRACE, max(c.give_up for c in module.classes)) + 0.7 - 2 * FLUSH
             await finish(lambda: engine.idle, grace, STILL_COMING)
             engine.give_up()
+            engine.release_all()
             await finish(lambda: not callers.unwritten and not servers.unwritten, FLUSH, 0.02)
             tasks.cancel_scope.cancel()
--- a/harepick/net/setups.py
+++ b/harepick/net/setups.py
@@ -50,6 +50,10 @@
     def __init__(self, classes: tuple[i.CallClass, ...]) -> None:
         self._patience = {c.name.encode(): c.give_up for c in classes}
 
+    def known(self, class_name: bytes) -> str | None:
+        """The class of that name, if there is one."""
+        return class_name.decode() if class_name in self._patience else None
+
     def read(self, message: binary.Message) -> SetUp:
         """Raises `BadSetUpError`."""
         fields = message.parameters
--- a/harepick/settings.py
+++ b/harepick/settings.py
@@ -52,6 +52,7 @@
     open_cap: int
     idle_close: float
     settings: i.Settings
+    ops: Address | None = None  # where the `ops` listener takes operators' calls; none if not set
 
 
 @dataclass(frozen=True, slots=True)
@@ -244,6 +245,10 @@
             open_cap=int(_number(settings, "Bounds.OpenCap", 1, DEFAULT_OPEN_CAP)),
             idle_close=_number(settings, "Bounds.IdleClose", 0.001, DEFAULT_IDLE_CLOSE),
             settings=module,
+            ops=_ops(
+                environ.get("GW_OPS") or config.get("ops"),
+                environ.get("GW_LISTEN") or config["listen"],
+            ),
         )
     except SettingsError:
         raise
@@ -251,6 +256,18 @@
         raise SettingsError(f"setting settings makes no sense: {error}") from None
 
 
+def _ops(text: Any, listen: str) -> Address | None:
+    """`host:port`, or `:port` on the host of `listen`."""
+    if text is None or text == "":
+        return None
+    if isinstance(text, str) and text.startswith(":"):
+        text = listen.rpartition(":")[0] + text
+    where = address(text, "ops")
+    if ":" in where.host:
+        raise SettingsError(f"setting ops is no IPv4 address: {text!r}")
+    return where
+
+
 # The operator's file
 
 KNOWN_KEYS = {
