Drain in steps: close the listener after 0.8 s, keep what stands, refuse late at once

Tests: tests/test_operating.py starts the program, scrapes it, speaks malformed and silent HTTP to it, and starts a second program on the same address that takes over while the first drains. The first run of the figures test found members at 0: Engine gained __len__ and the front's 'if self._engine' read it as false; now 'is not None'.

--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -77,6 +77,10 @@
     def idle(self) -> bool:
         return len(self._ledger) == 0
 
+    def __len__(self) -> int:
+        """Calls in the ledger: owed an answer, with an attempt out, or standing."""
+        return len(self._ledger)
+
     @property
     def members(self) -> int:
         """Servers in the list that are not gone."""
@@ -175,9 +179,9 @@
             self._counters.add("calls.clashes")
             offer.caller.clashes()
             return []
-        if self._closing:  # drained: a successor, or this program after its restart, takes it
+        if self._closing:  # drained: a successor, or this program after its restart, takes it now
             self._counters.add("answers.closing")
-            offer.caller.refused(self._settings.max_advice)
+            offer.caller.refused(0.0)
             return []
         if self._ledger.full:  # memory is bounded; the caller is told to stay away as long as it can be
             self._counters.add("answers.no_room")
--- a/harepick/net/callers.py
+++ b/harepick/net/callers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from collections import deque
 from dataclasses import dataclass
@@ -66,6 +67,28 @@
         self.connection.scope.cancel()
 
 
+async def _cancel_on(event: anyio.Event, scope: anyio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
+
+
+def _close(listener: SocketListener) -> list[socket.socket]:
+    """Closes a listening socket with nothing between the last look at its queue and the close: a connection
+    that the kernel has taken in on its behalf would be reset there, unheard. With SO_REUSEPORT, what comes
+    after the close goes to the others listening on the address."""
+    raw: socket.socket = listener.extra(SocketAttribute.raw_socket)
+    raw.setblocking(False)
+    queued = []
+    while True:
+        try:
+            sock, _ = raw.accept()
+        except OSError:  # nothing more queued, or no descriptor for it: the close decides
+            break
+        queued.append(sock)
+    raw.close()
+    return queued
+
+
 class Callers:
     def __init__(
         self,
@@ -91,21 +114,30 @@
     def unwritten(self) -> int:
         return sum(len(connection.outbox) for connection in self._room.connections)
 
-    async def listen(self, listener: SocketListener) -> None:
-        """Accepts for as long as the program serves; neither a connection that is gone again nor a lack of
-        descriptors ends that."""
+    async def listen(self, listener: SocketListener, closing: anyio.Event) -> None:
+        """Accepts until `closing`; neither a connection that is gone again nor a lack of descriptors ends
+        that. Then closes the listener, and serves on what it has taken."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._room.watch)
-            while True:
-                try:
-                    stream = await listener.accept()
-                except OSError as error:
-                    self._counters.add("callers.not_accepted")
-                    self._log.event("not_accepted", error=error.strerror)
-                    self._room.make()
-                    await anyio.sleep(0.02)
-                    continue
-                tasks.start_soon(self.serve, stream)
+            with anyio.CancelScope() as accepting:
+                tasks.start_soon(_cancel_on, closing, accepting)
+                while True:
+                    try:
+                        stream = await listener.accept()
+                    except OSError as error:
+                        self._counters.add("callers.not_accepted")
+                        self._log.event("not_accepted", error=error.strerror)
+                        self._room.make()
+                        await anyio.sleep(0.02)
+                        continue
+                    tasks.start_soon(self.serve, stream)
+            for sock in _close(listener):
+                tasks.start_soon(self._serve_queued, sock)
+            self._log.event("not_listening", taken=self._counters["callers.connections"])
+
+    async def _serve_queued(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await self.serve(await SocketStream.from_socket(sock))
 
     async def serve(self, stream: SocketStream) -> None:
         """One connection, from its acceptance to its end; no fault of it goes further."""
--- a/harepick/net/service.py
+++ b/harepick/net/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Mapping
 from dataclasses import fields
 from socket import SO_RCVBUF, SOL_SOCKET
@@ -25,7 +26,9 @@
     from harepick.ops import Telemetry
 
 STILL_COMING = 0.8  # after SIGTERM, connections and set-ups still come for so long
-LONGEST_GRACE = 3.0  # SIGKILL comes this, or the longest deadline if shorter, and 0.7 s after SIGTERM
+LONGEST_GRACE = 3.0  # SIGKILL comes this or the longest deadline, if shorter, and 0.7 s after SIGTERM
+LONGEST_HOLD = 5.0  # at a handover SIGKILL comes after the longest deadline, 5 s at most, and 0.7 s
+KILL_AFTER = 0.7
 FLUSH = 0.2
 RECEIVE = 32 * 1024  # bytes in a caller connection's receive buffer, twice a message at its longest
 
@@ -75,9 +78,9 @@
         return Telemetry(
             lanes=counters.lanes(),
             upstream_requests=counters["servers.invites_written"],
-            pending=self._callers.pending if self._callers else 0,
-            members=self._engine.members if self._engine else 0,
-            members_unavailable=self._engine.unavailable if self._engine else 0,
+            pending=self._callers.pending if self._callers is not None else 0,
+            members=self._engine.members if self._engine is not None else 0,
+            members_unavailable=self._engine.unavailable if self._engine is not None else 0,
             config_reloads=counters["reload.files"],
             config_reload_errors=counters["reload.bad_files"],
         )
@@ -105,6 +108,7 @@
         listener = await anyio.create_tcp_listener(
             local_host=where.host, local_port=where.port, reuse_port=True
         )
+        closing = anyio.Event()
         async with listener, anyio.create_task_group() as tasks:
             if config.ops:  # off unless configured: not even loaded then
                 from harepick.ops import OpsListener
@@ -117,15 +121,27 @@
                 assert isinstance(each, SocketListener)
                 # A client that sends without end may hold so much of our memory, and no more.
                 each.extra(SocketAttribute.raw_socket).setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE)
-                tasks.start_soon(callers.listen, each)
+                tasks.start_soon(callers.listen, each, closing)
             log.event("listening", front="platform", listen=str(where), offset=directory.offset)
             self._serving = True
             task_status.started()
             await stop.wait()
             self._serving = False  # a successor that says yes takes the new requests
-            grace = min(LONGEST_GRACE, max(c.give_up for c in module.classes)) + 0.7 - 2 * FLUSH
-            await finish(lambda: engine.idle, grace, STILL_COMING)
-            engine.give_up()
-            engine.release_all()
-            await finish(lambda: not callers.unwritten and not servers.unwritten, FLUSH, 0.02)
+            await self._drain(engine, callers, servers, closing)
             tasks.cancel_scope.cancel()
+
+    async def _drain(self, engine: Engine, callers: Callers, servers: Servers, closing: anyio.Event) -> None:
+        """A graceful drain, in the order of docs/design/operating.md: take what still comes, answer all that
+        was taken before SIGKILL can come, keep what stands while this process may, then release it."""
+        longest = max(c.give_up for c in self._config.settings.classes)
+        began = time.time()
+        grace = min(LONGEST_GRACE, longest) + KILL_AFTER - 2 * FLUSH
+        hold = min(LONGEST_HOLD, longest) + KILL_AFTER + FLUSH
+        await finish(lambda: engine.idle, STILL_COMING, STILL_COMING)
+        closing.set()  # new connections meet the successor, or are refused once none can come any more
+        await finish(lambda: engine.idle, grace - STILL_COMING)
+        engine.give_up()
+        self._log.event("drained", standing=len(engine), after=round(time.time() - began, 3))
+        await finish(lambda: engine.idle and not callers.unwritten, hold - (time.time() - began))
+        engine.release_all()
+        await finish(lambda: not callers.unwritten and not servers.unwritten, FLUSH, 0.02)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -13,6 +13,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
+from http.client import HTTPConnection
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -55,6 +56,29 @@
             return port
 
 
+def ops_call(port: int, path: str, method: str = "GET", within: float = 2.0) -> tuple[int, bytes]:
+    """One call to the `ops` listener, as a scraper makes it: status and body."""
+    connection = HTTPConnection("127.0.0.1", port, timeout=within)
+    try:
+        connection.request(method, path)
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+    finally:
+        connection.close()
+
+
+def figures(port: int) -> dict[str, float]:
+    """The exposition of `GET /api/telemetry` as name{labels} -> value."""
+    status, body = ops_call(port, "/api/telemetry")
+    assert status == 200
+    table = {}
+    for line in body.decode().splitlines():
+        if line and not line.startswith("#"):
+            name, _, value = line.rpartition(" ")
+            table[name] = float(value)
+    return table
+
+
 class Peer:
     """One connection, read message by message with the program's own codecs."""
 
@@ -178,6 +202,11 @@
         self.process.send_signal(signal.SIGUSR1)
         return until(lambda: self.events("counters")[before:], why="the counters")[0]
 
+    def ready(self, port: int) -> bool:
+        with suppress(OSError):
+            return ops_call(port, "/api/ready")[0] == 200
+        return False
+
     def stop(self, within: float = 6.0) -> int:
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(within)
@@ -211,6 +240,7 @@
         self.setups = [Setup() for _ in range(servers)]
         self.bus = listen()
         self.port = free_port()
+        self.ops = free_port()
         self.rows = [row(f"s{n}", s.address, n) for n, s in enumerate(self.setups)]
         options = json.loads(json.dumps(OPTIONS))
         options["Bounds"] |= {"RetryAfter": True, "MaxRetryAfter": 2.0, "OpenCap": 1000}
@@ -220,16 +250,17 @@
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "bus": f"127.0.0.1:{self.bus.getsockname()[1]}",
+            "ops": f"127.0.0.1:{self.ops}",
             "known": {"offset": 1, "batch": [event(1, *self.rows, reset=True)]},
             "settings": options,
         }
 
     @contextmanager
-    def run(self) -> Iterator[Program]:
+    def run(self, **environ: str) -> Iterator[Program]:
         with tempfile.TemporaryDirectory() as folder:
             self.path = Path(folder) / "config.json"
             self.path.write_text(json.dumps(self.config))
-            with program(GW_CONFIG=str(self.path)) as running:
+            with program(GW_CONFIG=str(self.path), **environ) as running:
                 yield running
 
     def follower(self) -> socket.socket:
--- /dev/null
+++ b/tests/test_operating.py
@@ -0,0 +1,109 @@
+"""What operators use day by day: the `ops` listener, its figures, and the handover to a second process.
+
+Each test starts the real program (and for the handover a second one beside it) and speaks to it as scrapers,
+callers and setup servers do.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import time
+from contextlib import suppress
+
+from harepick.net import binary
+from tests import peers
+from tests.test_platform import stand
+
+LANE = 'edge_gw_downstream_requests_total{lane="a",result="%s"}'
+
+
+def test_ready_and_figures_follow_what_the_callers_were_answered() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        peers.until(lambda: running.ready(place.ops), why="readiness")
+        caller = peers.Caller(place.port)
+        call, server = stand(place, caller)
+        waiting = caller.call()
+        refused = peers.invite(server)
+        peers.until(lambda: peers.figures(place.ops)["edge_gw_pending"] == 1, why="one pending")
+        peers.reply(server, refused, 503, note=b"processor_full")
+        sent = 2
+        while True:  # the module may try the same server again: each try is refused as well
+            with suppress(AssertionError):
+                peers.reply(server, peers.invite(server, within=1.0), 503, note=b"processor_full")
+                sent += 1
+                continue
+            break
+        answered = caller.told(waiting, within=10.0)
+        seen = peers.figures(place.ops)
+        result = "rejected" if answered.parameters[binary.CAUSE] == b"\x2a" else "failed"
+        assert seen[LANE % "completed"] == 1 and seen[LANE % result] == 1
+        assert seen["edge_gw_upstream_requests_total"] == sent
+        assert seen["edge_gw_pending"] == 0
+        assert seen["edge_gw_members"] == 1
+        assert seen["edge_gw_config_reloads_total"] == seen["edge_gw_config_reload_errors_total"] == 0
+        bus = place.follower()
+        assert bus.recv(100) == b"from 1\n"
+        draining = peers.row("s0", place.setups[0].address, 0, "DRAINING")
+        fresh = peers.row("s1", "127.0.0.1:9", 1)
+        bus.sendall(json.dumps(peers.event(2, draining, fresh)).encode() + b"\n")
+        peers.until(lambda: peers.figures(place.ops)["edge_gw_members"] == 2, why="the new member")
+        assert peers.figures(place.ops)["edge_gw_members_unavailable"] >= 1  # the draining one at least
+        gone = peers.row("s0", place.setups[0].address, 0, "DELETED")
+        bus.sendall(json.dumps(peers.event(3, gone)).encode() + b"\n")
+        peers.until(lambda: peers.figures(place.ops)["edge_gw_members"] == 1, why="the member gone")
+        assert call
+
+
+def test_silent_and_malformed_callers_cost_their_own_connection() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        peers.until(lambda: running.ready(place.ops), why="readiness")
+        silent = [socket.create_connection(("127.0.0.1", place.ops)) for _ in range(80)]
+        half = socket.create_connection(("127.0.0.1", place.ops))
+        half.sendall(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n")
+        began = time.monotonic()
+        assert peers.ops_call(place.ops, "/api/ready") == (200, b"ready\n")
+        assert time.monotonic() - began < 1.0
+        assert peers.ops_call(place.ops, "/api/nothing")[0] == 404
+        assert peers.ops_call(place.ops, "/api/ready", method="POST")[0] == 405
+        with socket.create_connection(("127.0.0.1", place.ops)) as rude:
+            rude.sendall(b"GET /api/ready HTTP/1.1\r\nno colon here\r\n\r\n")
+            assert rude.recv(4096).startswith(b"HTTP/1.1 400 ")
+        counters = running.counters()
+        assert counters["ops.malformed"] == 1 and counters["ops.made_room"] >= 16
+        for sock in [*silent, half]:
+            sock.close()
+        caller = peers.Caller(place.port)
+        stand(place, caller)  # the platform's front served on
+
+
+def test_a_second_process_takes_over_and_the_first_drains() -> None:
+    place = peers.Platform()
+    with place.run() as first:
+        peers.until(lambda: first.ready(place.ops), why="the first ready")
+        old = peers.Caller(place.port)
+        standing, server = stand(place, old)
+        second_ops = peers.free_port()
+        with place.run(GW_OPS=f"127.0.0.1:{second_ops}") as second:  # the same address to listen on
+            peers.until(lambda: second.ready(second_ops), why="the second ready")
+            first.process.send_signal(signal.SIGTERM)
+            peers.until(lambda: first.events("stopping"), why="the stop")
+            assert not first.ready(place.ops)
+            crossing = old.call(patience_ms=3000)  # on a connection that the first process took
+            peers.reply(server, peers.invite(server), 200, b"answer")
+            assert old.told(crossing).type == binary.ANSWER
+            time.sleep(1.0)  # the first has stopped taking connections: every new one meets the second
+            for _ in range(8):
+                fresh = peers.Caller(place.port)
+                fresh.send(binary.Message(binary.TEST, b"\0" * 8, {binary.CAUSE: b"\0"}).encode())
+                assert fresh.next(lambda m: m.type == binary.TESTED)
+                fresh.close()
+            peers.until(lambda: first.events("drained"), why="the end of the drain")
+            late = old.call()  # past the drain: answered at once, never left unheard
+            assert old.told(late, within=1.0).parameters[binary.CAUSE] == b"\x2a"
+            assert first.process.wait(8) == 0
+            assert second.process.poll() is None and second.ready(second_ops)
+            assert old.told(standing).type == binary.RELEASE
