Retune the module in place at SIGHUP: new classes for new calls, open ones keep theirs

Ruled out: the bus (lists followed, no bus.lost) and the broken files (both refused as they should be: GiveUp -5, settings missing).

Change: a valid file with other settings goes to the engine as a Retune word through the inbox; the module takes it as the event Retuned (decide.py _retune: classes of this and the last file, derived times recomputed, what is known of servers kept); each call keeps the number of attempts of its arrival (Call.limit, Entry.limit). The door takes new classes at once and a dropped one 2 s more. A connection with set-ups open is no longer closed for faulty messages. Tests (real SIGHUP): new class served with one attempt while the open call keeps five; dropped class refused after 2 s; six broken files take nothing, are counted and name their key.

--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -26,6 +26,7 @@
     CallOver,
     Gate,
     Offer,
+    Retune,
     ServerDied,
     Servers,
     Told,
@@ -169,6 +170,10 @@
             case ServerDied(server, at):
                 stood = [e for e in self._ledger.standing(server) if e.stood <= at]
                 return [self._fall(entry, now, i.Outcome.RESET) for entry in stood]
+            case Retune(settings):
+                self._settings = settings
+                self._counters.add("core.retuned")
+                return [i.Retuned(settings)]
             case Told(event):
                 if isinstance(event, i.ServerList):
                     return [event, *self._listing(event, now)]
@@ -192,7 +197,7 @@
             offer.caller.refused(min(wait, self._settings.max_advice))
             return []
         self._counters.add("calls.taken")
-        entry = self._ledger.book(offer)
+        entry = self._ledger.book(offer, self._settings.try_limit)
         self._timers.set(offer.deadline + self._settings.answer_grace, entry)
         return [
             i.CallArrived(
@@ -369,7 +374,7 @@
         deadline = min(offer.deadline, now + timeout) if timeout > 0 else offer.deadline
         attempt = Attempt(call, entry.tries, server, now, deadline, offer.request, self._may_leave)
         entry.tries += 1
-        if entry.answered or now >= deadline or entry.tries > self._settings.try_limit:
+        if entry.answered or now >= deadline or entry.tries > entry.limit:
             outcome: i.Outcome | None = i.Outcome.MOOT
         else:
             entry.out = attempt
--- a/harepick/core/ledger.py
+++ b/harepick/core/ledger.py
@@ -15,6 +15,7 @@
 @dataclass(slots=True, eq=False)
 class Entry:
     offer: Offer
+    limit: int  # attempts, as the settings said when it was taken
     tries: int = 0
     out: Attempt | None = None
     answered: bool = False  # the final answer has been given, or the caller has gone and none is owed
@@ -41,8 +42,8 @@
     def get(self, call: str) -> Entry | None:
         return self._calls.get(call)
 
-    def book(self, offer: Offer) -> Entry:
-        entry = self._calls[offer.call] = Entry(offer)
+    def book(self, offer: Offer, limit: int) -> Entry:
+        entry = self._calls[offer.call] = Entry(offer, limit)
         return entry
 
     def owed(self, call: str) -> Entry | None:
--- a/harepick/core/words.py
+++ b/harepick/core/words.py
@@ -144,4 +144,11 @@
     event: i.ServerList | i.Probed
 
 
-Word = Offer | CallerGone | Answered | AttemptOver | CallOver | ServerDied | Told
+@dataclass(slots=True)
+class Retune:
+    """Settings read again at SIGHUP: for what arrives from now on."""
+
+    settings: i.Settings
+
+
+Word = Offer | CallerGone | Answered | AttemptOver | CallOver | ServerDied | Told | Retune
--- a/harepick/decide.py
+++ b/harepick/decide.py
@@ -145,11 +145,12 @@
 
     __slots__ = (
         *("id", "cls", "dest", "arrived", "transit", "until", "tries", "out", "last"),
-        *("not_before", "revoked", "may_run", "stands", "erred"),
+        *("not_before", "revoked", "may_run", "stands", "erred", "limit"),
     )
 
-    def __init__(self, event: i.CallArrived, cls: i.CallClass, now: float) -> None:
+    def __init__(self, event: i.CallArrived, cls: i.CallClass, now: float, limit: int) -> None:
         self.id, self.cls, self.dest, self.arrived = event.call, cls, event.destination, now
+        self.limit = limit  # attempts, as the settings said when it arrived
         self.transit = event.in_transit
         self.until = event.deadline
         self.tries = 0
@@ -166,15 +167,12 @@
     """The decision module of one front: `step(now, events)` returns the actions."""
 
     def __init__(self, settings: i.Settings, seed: int, now: float) -> None:
-        self.s = settings
         self.rng = random.Random(seed)
         self.now = now
         self.began = now
-        self.classes = {c.name: c for c in settings.classes}
-        self.tightest = min(c.aim for c in settings.classes)
-        self.wait_at_pmax = SHUT_SHARE * self.tightest
-        self.interval = self.tightest / INTERVALS_PER_AIM
-        self.longest = max(c.give_up for c in settings.classes)
+        self.s: i.Settings = settings
+        self.classes: dict[str, i.CallClass] = {}
+        self._retune(settings)
         self.tried: dict[tuple[int | None, str], float] = {}  # number and class -> first try, oldest first
         self.mean_worth = 0.0  # of the calls that have arrived
         self.seen = 0
@@ -215,10 +213,23 @@
                     self._left(call)
                 case i.ServerList():
                     self._listed(event)
+                case i.Retuned(settings):
+                    self._retune(settings)
                 case i.Probed():
                     self._report(event.server, event.report)
         return self.actions
 
+    def _retune(self, settings: i.Settings) -> None:
+        """Classes and rules for what arrives from now on; what is known of the servers stays. A class that
+        was dropped is kept for one reload more: its callers may not have moved yet."""
+        before = {c.name: c for c in self.s.classes} if self.classes else {}
+        self.s = settings
+        self.classes = {**before, **{c.name: c for c in settings.classes}}
+        self.tightest = min(c.aim for c in settings.classes)
+        self.wait_at_pmax = SHUT_SHARE * self.tightest
+        self.interval = self.tightest / INTERVALS_PER_AIM
+        self.longest = max(c.give_up for c in self.classes.values())
+
     def avoided(self) -> set[str]:
         """Listed servers that fresh calls go to no more: told off, or shut by their occupancy."""
         return {s.id for s in self.servers.values() if not s.gone and (s.told_off is not None or not s.u)}
@@ -434,7 +445,7 @@
         cls = self.classes.get(event.class_name) or self.s.classes[0]
         self.seen += 1
         self.mean_worth += (cls.worth - self.mean_worth) / self.seen
-        call = self.calls[event.call] = Call(event, cls, self.now)
+        call = self.calls[event.call] = Call(event, cls, self.now, self.s.try_limit)
         call.arrived = self._first_try(event, cls)
         self.arrivals += call.arrived == self.now  # redials are no measure of what servers carry
         self._route(call)
@@ -456,7 +467,7 @@
         return [s for s in self.servers.values() if self._allowed(call, s)]
 
     def _route(self, call: Call) -> None:
-        if self.now >= call.until - EPS or call.tries >= self.s.try_limit:
+        if self.now >= call.until - EPS or call.tries >= call.limit:
             return self._finish(call)
         usable = self._usable(call)
         if self.now < call.not_before:
--- a/harepick/interface.py
+++ b/harepick/interface.py
@@ -152,6 +152,13 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """New settings, from a reload: for what arrives from now on. Open calls keep their class and attempts."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class Probed:
     server: str
@@ -166,7 +173,9 @@
     data: bytes
 
 
-Event = ServerList | CallArrived | CallStands | AttemptEnded | CallerLeft | Woken | Probed | PeerNote
+Event = (
+    ServerList | CallArrived | CallStands | AttemptEnded | CallerLeft | Woken | Probed | PeerNote | Retuned
+)
 
 
 # Actions
--- a/harepick/net/callers.py
+++ b/harepick/net/callers.py
@@ -105,6 +105,10 @@
         self._room = Room(most, counters)
         self._waiting: deque[Item] = deque(maxlen=WAITING)
 
+    def retune(self, classes: tuple[i.CallClass, ...]) -> None:
+        """The classes of settings read again."""
+        self._set_ups.retune(classes, time.time())
+
     @property
     def pending(self) -> int:
         """Set-ups taken that wait for their final answer: the figure `pending`."""
@@ -189,7 +193,7 @@
                 peer = connection.stream.extra(SocketAttribute.remote_address, None)
                 self._log.event("malformed", peer=str(peer), error=str(error))
                 return
-            if connection.bad > MOST_BAD:
+            if self._too_bad(connection):
                 self._counters.add("callers.too_bad")
                 return
             if not decoder.pending:
@@ -197,8 +201,14 @@
             elif count or connection.half_since is None:
                 connection.half_since = now
 
+    @staticmethod
+    def _too_bad(connection: Connection) -> bool:
+        """So many faulty messages that the connection is closed, once that gives up no set-up of it: those
+        of a class that a reload has dropped are well formed, and came beside set-ups that are owed."""
+        return connection.bad > MOST_BAD and not connection.open
+
     async def _take(self, connection: Connection, message: binary.Message, now: float) -> None:
-        if connection.bad > MOST_BAD:
+        if self._too_bad(connection):
             return
         match message.type:
             case binary.SET_UP:
@@ -226,12 +236,12 @@
     async def _set_up(self, connection: Connection, message: binary.Message, now: float) -> None:
         self._counters.add("callers.set_ups")
         try:
-            set_up = self._set_ups.read(message)
+            set_up = self._set_ups.read(message, now)
         except BadSetUpError as error:
             self._counters.add("callers.bad_set_ups")
             connection.bad += 1
             item = Item(message.call, binary.release(message.call, error.cause), "final")
-            lane = self._set_ups.known(message.parameters.get(binary.CLASS, b""))
+            lane = self._set_ups.known(message.parameters.get(binary.CLASS, b""), now)
             self.write(connection, item, lane, "rejected" if error.cause in RETRY_CAUSES else "failed")
             return
         caller = BinaryCaller(self, connection, message.call, set_up.request.class_name.decode())
--- a/harepick/net/service.py
+++ b/harepick/net/service.py
@@ -4,7 +4,7 @@
 
 import time
 from collections.abc import Mapping
-from dataclasses import fields
+from dataclasses import fields, replace
 from socket import SO_RCVBUF, SOL_SOCKET
 from typing import TYPE_CHECKING
 
@@ -13,6 +13,7 @@
 
 from harepick.core.engine import Engine
 from harepick.core.inbox import Inbox
+from harepick.core.words import Retune
 from harepick.counters import Counters
 from harepick.directory import Directory, DirectoryError
 from harepick.lifecycle import finish
@@ -40,6 +41,7 @@
         self._bus: Bus | None = None
         self._engine: Engine | None = None
         self._callers: Callers | None = None
+        self._inbox: Inbox | None = None
         self._serving = False  # the readiness that `ops` tells: listening, and not stopping
         try:
             self._known = self._directory.load(config.known)
@@ -47,7 +49,8 @@
             raise SettingsError(f"setting known.batch makes no sense: {error}") from None
 
     def reload(self) -> None:
-        """Reads the configuration again: a new bus is followed at once, all else waits for a restart.
+        """Reads the configuration again (hot reload): a new bus is followed at once, new settings reach the
+        module through the inbox and hold for what arrives from then on; all else waits for a restart.
 
         A faulty file changes nothing: it may be half written, or meant for another program."""
         try:
@@ -58,6 +61,11 @@
             return
         if self._bus and config.bus != self._bus.address:
             self._bus.move(config.bus)
+        retuned = config.settings != self._config.settings
+        if retuned and self._inbox is not None and self._callers is not None:
+            self._callers.retune(config.settings.classes)
+            self._inbox.tell(Retune(config.settings))
+            self._config = replace(self._config, settings=config.settings)
         start = self._config  # `known` and `seed` are of a start, and new with each
         waiting = [
             key.name
@@ -66,7 +74,8 @@
             and getattr(config, key.name) != getattr(start, key.name)
         ]
         self._counters.add("reload.files")
-        self._log.event("reloaded", bus=str(config.bus), waiting_for_restart=waiting)
+        classes = [c.name for c in self._config.settings.classes]
+        self._log.event("reloaded", retuned=retuned, classes=classes, waiting_for_restart=waiting)
 
     def ready(self) -> bool:
         return self._serving
@@ -90,7 +99,8 @@
     ) -> None:
         config, counters, log = self._config, self._counters, self._log
         module = config.settings
-        inbox, directory = Inbox(), self._directory
+        inbox = self._inbox = Inbox()
+        directory = self._directory
         servers = Servers(
             directory,
             inbox,
--- a/harepick/net/setups.py
+++ b/harepick/net/setups.py
@@ -19,6 +19,7 @@
 FIGURES = re.compile(rb"[a-z]+:-?[0-9]{1,9}(;[a-z]+:-?[0-9]{1,9})*;?")
 BOUNDS = {"dest": (-1, 65_535), "width": (1, 64), "via": (-1, 65_535), "again": (0, 1)}
 NO_ID = bytes(8)
+DROPPED_FOR = 2.0  # clients move to new classes 1.2 s after a reload: until then the old ones still come
 
 
 class BadSetUpError(ValueError):
@@ -49,23 +50,38 @@
 class SetUps:
     def __init__(self, classes: tuple[i.CallClass, ...]) -> None:
         self._patience = {c.name.encode(): c.give_up for c in classes}
-
-    def known(self, class_name: bytes) -> str | None:
+        self._dropped: dict[bytes, float] = {}  # classes of the settings before the last reload
+        self._dropped_until = 0.0
+
+    def retune(self, classes: tuple[i.CallClass, ...], now: float) -> None:
+        """New classes at once; one that was dropped is taken for `DROPPED_FOR` more seconds."""
+        patience = {c.name.encode(): c.give_up for c in classes}
+        self._dropped = {name: most for name, most in self._patience.items() if name not in patience}
+        self._dropped_until = now + DROPPED_FOR
+        self._patience = patience
+
+    def _most(self, class_name: bytes, now: float) -> float | None:
+        if (most := self._patience.get(class_name)) is not None:
+            return most
+        return self._dropped.get(class_name) if now < self._dropped_until else None
+
+    def known(self, class_name: bytes, now: float) -> str | None:
         """The class of that name, if there is one."""
-        return class_name.decode() if class_name in self._patience else None
+        return class_name.decode() if self._most(class_name, now) is not None else None
 
-    def read(self, message: binary.Message) -> SetUp:
+    def read(self, message: binary.Message, now: float) -> SetUp:
         """Raises `BadSetUpError`."""
         fields = message.parameters
         class_name, number = fields.get(binary.CLASS, b""), fields.get(binary.NUMBER, b"")
         description = fields.get(binary.DESCRIPTION)
         if message.call == NO_ID or not class_name or not number or description is None:
             raise BadSetUpError(MISSING)
-        if class_name not in self._patience:
+        most = self._most(class_name, now)
+        if most is None:
             raise BadSetUpError(INVALID)
         if not NUMBER.fullmatch(number):
             raise BadSetUpError(BAD_NUMBER)
-        patience = most = self._patience[class_name]
+        patience = most
         if (text := fields.get(binary.PATIENCE)) is not None:
             if not COUNT.fullmatch(text):
                 raise BadSetUpError(INVALID)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -164,7 +164,7 @@
     """An assertion there once ended the whole front with all its calls."""
     world = two()
     for k, change in enumerate(("release", "drained")):
-        call = Call(i.CallArrived(f"x{k}", 0, world.now + 3, "low"), LOW, world.now)
+        call = Call(i.CallArrived(f"x{k}", 0, world.now + 3, "low"), LOW, world.now, 4)
         world.c.calls[call.id] = call
         if change == "release":
             call.not_before = world.now + 0.1
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -10,9 +10,10 @@
 import signal
 import socket
 import time
+from collections.abc import Iterator
 from contextlib import suppress
 
-from harepick.net import binary
+from harepick.net import binary, sip
 from tests import peers
 from tests.test_platform import stand
 
@@ -107,3 +108,77 @@
             assert first.process.wait(8) == 0
             assert second.process.poll() is None and second.ready(second_ops)
             assert old.told(standing).type == binary.RELEASE
+
+
+def invited(*lines: peers.Peer) -> Iterator[tuple[peers.Peer, sip.Message]]:
+    for line in lines:
+        with suppress(AssertionError):
+            yield line, peers.invite(line, within=0.05)
+
+
+def test_sighup_takes_new_classes_for_new_calls_while_open_calls_keep_their_rules() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        old_call = caller.call(patience_ms=8000)  # class a: five attempts
+        server = place.setups[0].accept()
+        held = peers.invite(server)
+        options = place.config["settings"]
+        options["Classes"] = [{**options["Classes"][1], "Name": "c"}]  # a and b dropped, c new
+        options["Bounds"]["TryLimit"] = 1  # fewer attempts from now on
+        place.path.write_text(json.dumps(place.config))
+        running.process.send_signal(signal.SIGHUP)
+        told = peers.until(lambda: running.events("reloaded"), why="the new file")[0]
+        assert told["retuned"] and told["classes"] == ["c"] and told["waiting_for_restart"] == []
+        new_call = caller.call(patience_ms=5000, cls=b"c")
+        second = place.setups[0].accept()  # a set-up open has a line to itself
+        fresh = peers.invite(second)
+        assert fresh.call == new_call.hex() and fresh.text(b"priority-class") == "c"
+        peers.reply(second, fresh, 500)  # one attempt, as the new settings say: no other follows
+        assert caller.told(new_call).type == binary.RELEASE
+        peers.reply(server, held, 500)  # the open call keeps its five
+        line, again = peers.until(lambda: next(invited(server, second), None), why="the second attempt")
+        assert again.call == old_call.hex()
+        peers.reply(line, again, 200, b"answer")
+        assert caller.told(old_call).type == binary.ANSWER
+        time.sleep(2.0)  # past the time that a dropped class is still taken
+        dropped = caller.call(cls=b"a")
+        assert caller.told(dropped).parameters[binary.CAUSE] == bytes([100])
+        seen = peers.figures(place.ops)
+        assert (seen["edge_gw_config_reloads_total"], seen["edge_gw_config_reload_errors_total"]) == (1, 0)
+
+
+def test_a_broken_file_at_sighup_takes_nothing_is_counted_and_names_its_key() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        good = json.dumps(place.config)
+        options = place.config["settings"]
+        broken = [
+            ("", "GW_CONFIG"),
+            (good[: len(good) // 2], "GW_CONFIG"),
+            (json.dumps({**place.config, "settings": {}}), "settings"),
+            (json.dumps({**place.config, "settings": {**options, "Classes": [{"Name": "a"}]}}), "Promise"),
+            (
+                json.dumps(
+                    {
+                        **place.config,
+                        "settings": {**options, "Classes": [{**options["Classes"][0], "GiveUp": -5}]},
+                    }
+                ),
+                "Classes[0].GiveUp",
+            ),
+            (
+                json.dumps({**place.config, "settings": {**options, "Bounds": {"TryLimit": 0}}}),
+                "Bounds.TryLimit",
+            ),
+        ]
+        for n, (text, key) in enumerate(broken, start=1):
+            place.path.write_text(text)
+            running.process.send_signal(signal.SIGHUP)
+            said = peers.until(lambda n=n: running.events("reload_failed")[n - 1 :], why="the refusal")[0]
+            assert key in said["error"]
+            assert peers.figures(place.ops)["edge_gw_config_reload_errors_total"] == n
+        assert not running.events("reloaded")
+        caller = peers.Caller(place.port)
+        stand(place, caller)  # class a and its rules, as before
+        assert peers.figures(place.ops)["edge_gw_config_reloads_total"] == 0
--- a/tests/test_setups.py
+++ b/tests/test_setups.py
@@ -19,10 +19,10 @@
 
 
 def test_a_set_up_as_it_should_be_is_read() -> None:
-    found = READER.read(set_up(figures=b"dest:2;width:1;via:-1;again:1"))
+    found = READER.read(set_up(figures=b"dest:2;width:1;via:-1;again:1"), 0.0)
     assert (found.patience, found.destination, found.again) == (1.5, 2, True)
     assert (found.request.number, found.request.description) == (b"7f3a", b"offer")
-    plain = READER.read(set_up(patience=None, figures=None))
+    plain = READER.read(set_up(patience=None, figures=None), 0.0)
     assert (plain.patience, plain.destination, plain.again) == (3.0, -1, False)
 
 
@@ -51,5 +51,5 @@
 )
 def test_what_is_out_of_bounds_is_refused_with_its_cause(message: binary.Message, cause: int) -> None:
     with pytest.raises(BadSetUpError) as refused:
-        READER.read(message)
+        READER.read(message, 0.0)
     assert refused.value.cause == cause
