Count what stands as pending: a request ends with its release, not with its answer

Ruled out: lateness (0 late or unanswered) and the other figures (none untrue).

Change: pending is read from the ledger: calls owed their final answer or standing (Ledger.pending); the count on the connections is gone.

--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -82,6 +82,11 @@
         """Calls in the ledger: owed an answer, with an attempt out, or standing."""
         return len(self._ledger)
 
+    @property
+    def pending(self) -> int:
+        """Requests taken and not ended: owed their final answer, or standing until their release."""
+        return self._ledger.pending()
+
     @property
     def members(self) -> int:
         """Servers in the list that are not gone."""
--- a/harepick/core/ledger.py
+++ b/harepick/core/ledger.py
@@ -56,6 +56,10 @@
             if entry.standing_at is not None and server in (None, entry.standing_at):
                 yield entry
 
+    def pending(self) -> int:
+        """Calls owed their final answer or standing."""
+        return sum(1 for e in self._calls.values() if not e.answered or e.standing_at is not None)
+
     def unanswered(self) -> list[Entry]:
         return [entry for entry in self._calls.values() if not entry.answered]
 
--- a/harepick/net/callers.py
+++ b/harepick/net/callers.py
@@ -109,11 +109,6 @@
         """The classes of settings read again."""
         self._set_ups.retune(classes, time.time())
 
-    @property
-    def pending(self) -> int:
-        """Set-ups taken that wait for their final answer: the figure `pending`."""
-        return sum(len(connection.open) for connection in self._room.connections)
-
     @property
     def unwritten(self) -> int:
         return sum(len(connection.outbox) for connection in self._room.connections)
--- a/harepick/net/service.py
+++ b/harepick/net/service.py
@@ -87,7 +87,7 @@
         return Telemetry(
             lanes=counters.lanes(),
             upstream_requests=counters["servers.invites_written"],
-            pending=self._callers.pending if self._callers is not None else 0,
+            pending=self._engine.pending if self._engine is not None else 0,
             members=self._engine.members if self._engine is not None else 0,
             members_unavailable=self._engine.unavailable if self._engine is not None else 0,
             config_reloads=counters["reload.files"],
--- a/harepick/ops/exposition.py
+++ b/harepick/ops/exposition.py
@@ -23,7 +23,7 @@
 
     lanes: dict[str, dict[str, int]] = field(default_factory=dict)  # class -> result -> final answers
     upstream_requests: int = 0  # set-ups written whole to setup servers
-    pending: int = 0  # requests taken that wait for their final answer
+    pending: int = 0  # requests taken and not ended: owed their final answer, or standing
     members: int = 0  # setup servers in the list
     members_unavailable: int = 0  # of those, the ones that fresh calls avoid now
     config_reloads: int = 0  # files taken at SIGHUP
@@ -60,7 +60,9 @@
             "Set-ups written whole to setup servers.",
             value=now.upstream_requests,
         )
-        yield GaugeMetricFamily(PREFIX + "pending", "Requests taken and not yet answered.", value=now.pending)
+        yield GaugeMetricFamily(
+            PREFIX + "pending", "Requests taken and not ended: unanswered or standing.", value=now.pending
+        )
         yield GaugeMetricFamily(PREFIX + "members", "Setup servers in the list.", value=now.members)
         yield GaugeMetricFamily(
             PREFIX + "members_unavailable",
