Give a message begun its own time: the first-word limit cut slow writers mid-message

Cause, read in net/room.py watch(): a connection that had not yet said a whole message was closed 2 s after its acceptance even while a message begun later was still within its own 2 s (the half branch fell through to the silent one). A test that begins a set-up 0.6 s after connecting and finishes it 1.8 s later saw the connection closed and no INVITE; with the change it is taken and answered. Ruled out: the room's cap (the test holds one connection) and the module (the same set-up sent at once is served).

Change: while a message is begun only the half-said limit applies. Measured: the new test fails before and passes after; strangers, operating and platform tests pass.

--- a/harepick/net/room.py
+++ b/harepick/net/room.py
@@ -99,8 +99,9 @@
             now = time.time()
             for connection in [c for c in self.connections if not c.open and not len(c.outbox)]:
                 half = connection.half_since
-                if half is not None and now - half > HALF:
-                    self._close(connection, "half_said")
+                if half is not None:  # a message begun has its own time, wherever it began
+                    if now - half > HALF:
+                        self._close(connection, "half_said")
                 elif not connection.fit and now - connection.at > FIRST_WORD:
                     self._close(connection, "silent")
                 elif not connection.standing and now - connection.at > IDLE:
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -184,3 +184,29 @@
         caller = peers.Caller(place.port)
         stand(place, caller)  # class a and its rules, as before
         assert peers.figures(place.ops)["edge_gw_config_reloads_total"] == 0
+
+
+def test_a_set_up_begun_late_and_written_slowly_is_taken() -> None:
+    """A crowd's true requests come on new connections, some written over 2 s: the time for a first word
+    must not cut one that has begun, only the time for a message begun."""
+    place = peers.Platform()
+    with place.run():
+        caller = peers.Caller(place.port)
+        data = binary.Message(
+            binary.SET_UP,
+            b"slowslow",
+            {
+                binary.CLASS: b"a",
+                binary.PATIENCE: b"6000",
+                binary.NUMBER: b"7f3a9c21e0b4d655",
+                binary.FIGURES: b"dest:0;width:1;via:-1",
+                binary.DESCRIPTION: b"offer\r\n",
+            },
+        ).encode()
+        time.sleep(0.6)
+        caller.send(data[:5])
+        time.sleep(1.8)  # 2.4 s after the connection came, 1.8 s into the message
+        caller.send(data[5:])
+        server = place.setups[0].accept()
+        peers.reply(server, peers.invite(server), 200, b"answer")
+        assert caller.told(b"slowslow").type == binary.ANSWER
