Show that the platform's start without ops loads neither the listener nor its libraries

Need: the ops listener is off unless configured and must cost nothing then. Change: the test of what 'import harepick.__main__' loads names harepick.ops, prometheus_client and h11. Measured: passes.

--- a/tests/test_store_daemons.py
+++ b/tests/test_store_daemons.py
@@ -524,6 +524,9 @@
         "click",
         "google_crc32c",
         "harepick.enumdns",
+        "harepick.ops",  # loaded only where `ops` is configured
+        "prometheus_client",
+        "h11",
     ):
         assert not any(m == name or m.startswith(name + ".") for m in loaded), name
 
