Test the handover with new connections all through the first one's close

Need: the claim that the handover turns back no request rests on the close of the old listener taking what the kernel queued in the same stretch.

--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -11,6 +11,7 @@
 import socket
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 
 from harepick.net import binary, sip
@@ -92,18 +93,16 @@
         second_ops = peers.free_port()
         with place.run(GW_OPS=f"127.0.0.1:{second_ops}") as second:  # the same address to listen on
             peers.until(lambda: second.ready(second_ops), why="the second ready")
+            stream = ThreadPoolExecutor(1).submit(tested_until, place.port, time.monotonic() + 1.6)
             first.process.send_signal(signal.SIGTERM)
             peers.until(lambda: first.events("stopping"), why="the stop")
             assert not first.ready(place.ops)
             crossing = old.call(patience_ms=3000)  # on a connection that the first process took
             peers.reply(server, peers.invite(server), 200, b"answer")
             assert old.told(crossing).type == binary.ANSWER
-            time.sleep(1.0)  # the first has stopped taking connections: every new one meets the second
-            for _ in range(8):
-                fresh = peers.Caller(place.port)
-                fresh.send(binary.Message(binary.TEST, b"\0" * 8, {binary.CAUSE: b"\0"}).encode())
-                assert fresh.next(lambda m: m.type == binary.TESTED)
-                fresh.close()
+            served, turned_back = stream.result(timeout=10)
+            assert served > 20 and turned_back == 0  # through the close of the first one's listener
+            assert first.events("not_listening")
             peers.until(lambda: first.events("drained"), why="the end of the drain")
             late = old.call()  # past the drain: answered at once, never left unheard
             assert old.told(late, within=1.0).parameters[binary.CAUSE] == b"\x2a"
@@ -112,6 +111,22 @@
             assert old.told(standing).type == binary.RELEASE
 
 
+def tested_until(port: int, end: float) -> tuple[int, int]:
+    """New connections one after another, each with a test: how many were answered, and how many met a
+    refusal, a reset or a close."""
+    served = turned_back = 0
+    while time.monotonic() < end:
+        try:
+            fresh = peers.Caller(port)
+            fresh.send(binary.Message(binary.TEST, b"\0" * 8, {binary.CAUSE: b"\0"}).encode())
+            fresh.next(lambda m: m.type == binary.TESTED, within=1.0)
+            fresh.close()
+            served += 1
+        except (OSError, EOFError, AssertionError):
+            turned_back += 1
+    return served, turned_back
+
+
 def invited(*lines: peers.Peer) -> Iterator[tuple[peers.Peer, sip.Message]]:
     for line in lines:
         with suppress(AssertionError):
