Gap ENUM look-ups from the operator's [[gap]] rows, changed at SIGHUP

Change: read_enum reads [[gap]] rows with the gapping reader (E.164 plan); the ENUM front keeps one screen for all its generations, checks gaps before it binds its sockets (exit 2 naming the key) and at every apply (a bad gap turns the whole file down); a change of gaps alone begins no new generation.

--- a/harepick/enumdns/service.py
+++ b/harepick/enumdns/service.py
@@ -9,8 +9,10 @@
 from __future__ import annotations
 
 import secrets
+import time
 from collections.abc import Sequence
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
@@ -18,7 +20,7 @@
 from harepick import interface as i
 from harepick.core.engine import Engine
 from harepick.core.inbox import Inbox
-from harepick.core.words import Gate, Told
+from harepick.core.words import Gate, Screen, Told
 from harepick.counters import Counters
 from harepick.directory import Directory, Row
 from harepick.enumdns.front import Front, Serving
@@ -28,6 +30,9 @@
 from harepick.log import Log
 from harepick.settings import Address, Enum, SettingsError, read_operator
 
+if TYPE_CHECKING:
+    from harepick.gapping.screen import GapScreen
+
 STILL_COMING = 0.2  # after a stop, queries on their way are still taken for so long
 FLUSH = 0.2
 LATE_WORDS = 0.5  # an old generation stays so much longer than its last look-up may take
@@ -55,6 +60,7 @@
         counters: Counters,
         log: Log,
         gate: Gate | None,
+        screen: Screen | None = None,
     ) -> None:
         module = config.settings
         self.config = config
@@ -62,7 +68,7 @@
         self.port = Upstreams(directory, self.inbox, counters, log, module.connect_timeout, config.edns_size)
         seed = secrets.randbits(63) if config.seed is None else config.seed
         self.engine = Engine(
-            module, seed, self.port, self.inbox, counters, log, config.open_lookups, gate=gate
+            module, seed, self.port, self.inbox, counters, log, config.open_lookups, gate=gate, screen=screen
         )
         self.scope = anyio.CancelScope()
 
@@ -105,6 +111,28 @@
         self._wanted: Enum | None = None
         self._generations: list[Generation] = []
         self._front: Front | None = None
+        self._screen: GapScreen | None = None  # number gapping, once gaps are configured
+
+    def _screen_gaps(self, config: Enum) -> str | None:
+        """Sets, changes and lifts gaps as `config` says; if one makes no sense now, changes nothing and
+        says why, naming the gap and its key."""
+        if not config.gaps and self._screen is None:
+            return None
+        from harepick.gapping.gaps import GapError
+        from harepick.gapping.screen import GapScreen
+
+        screen = self._screen or GapScreen(config.settings.zone)
+        try:
+            told = screen.apply(config.gaps, time.time(), [config.call_class])
+        except GapError as error:
+            return f"setting gap: {error}"
+        if self._screen is None:
+            self._screen = screen
+            for generation in self._generations:
+                generation.engine.screen = screen
+        if any(told.values()):
+            self._log.event("gaps", **told, now=len(screen))
+        return None
 
     def reload(self) -> None:
         """Reads the file again; a faulty one changes nothing."""
@@ -122,6 +150,10 @@
         """Takes a new configuration over. At once for upstreams and routes: on return the core has the word.
 
         What else has changed begins a new generation as soon as the loop comes round; `listen` stays."""
+        if error := self._screen_gaps(config):
+            self._counters.add("enum.bad_files")
+            self._log.event("reload_failed", error=error)
+            return
         old, self._config = self._config, config
         if self._front is None:
             return  # not up yet: it starts with this one
@@ -133,7 +165,7 @@
         if news:
             for generation in self._generations:
                 generation.told(i.ServerList(i.ListKind.CHANGES, news))
-        if replace(config, upstreams=(), routes=()) != replace(old, upstreams=(), routes=()) or self._wanted:
+        if _core(config) != _core(old) or self._wanted:
             self._wanted = config
             self._changed.set()
         else:
@@ -154,13 +186,15 @@
         config, counters, log = self._config, self._counters, self._log
         host, number = config.listen.host, config.listen.port
         change = self.directory.update(self._rows(config), whole=True)
+        if faulty := self._screen_gaps(config):
+            raise SettingsError(faulty)
         try:
             listener = await anyio.create_tcp_listener(local_host=host, local_port=number)
             sock = await anyio.create_udp_socket(local_host=host, local_port=number)
         except OSError as error:
             raise SettingsError(f"setting enum.listen: {config.listen}: {error.strerror}") from None
         async with listener, sock, anyio.create_task_group() as tasks:
-            first = Generation(config, self.directory, counters, log, self._gate)
+            first = Generation(config, self.directory, counters, log, self._gate, self._screen)
             self._generations.append(first)
             await tasks.start(first.run, change)
             front = self._front = Front(self._serving(config, first), counters, log)
@@ -189,7 +223,9 @@
             while len(self._generations) >= MOST_GENERATIONS:
                 await anyio.sleep(0.05)
             config, self._wanted = self._wanted or self._config, None
-            generation = Generation(config, self.directory, self._counters, self._log, self._gate)
+            generation = Generation(
+                config, self.directory, self._counters, self._log, self._gate, self._screen
+            )
             await tasks.start(generation.run, i.ServerList(i.ListKind.ALL, self.directory.entries()))
             old = self._generations[-1]
             self._generations.append(generation)
@@ -219,3 +255,8 @@
             kept = {row.entry.server for row in rows}
             del self._numbers[next(name for name in self._numbers if name not in kept)]
         return rows
+
+
+def _core(config: Enum) -> Enum:
+    """What a new generation is begun for: all but upstreams, routes and gaps."""
+    return replace(config, upstreams=(), routes=(), gaps=())
--- a/harepick/settings.py
+++ b/harepick/settings.py
@@ -89,6 +89,7 @@
     upstreams: tuple[Upstream, ...]
     settings: i.Settings
     routes: tuple[Route, ...] = ()
+    gaps: tuple[Any, ...] = ()  # `harepick.gapping.config.Row`s of `[[gap]]`
 
 
 def _number(table: Mapping[str, Any], path: str, low: float, default: float | None = None) -> float:
@@ -342,6 +343,8 @@
 def read_enum(table: Mapping[str, Any]) -> Enum:
     """The ENUM front as a table sets it up; raises `SettingsError` naming the faulty key."""
     for section, value in table.items():
+        if section == "gap":  # its reader names the keys it knows
+            continue
         if section not in KNOWN_KEYS:
             raise SettingsError(f"setting {section} is not known")
         for row in value if isinstance(value, list) else [value]:
@@ -394,6 +397,7 @@
         upstreams=upstreams,
         settings=settings,
         routes=_routes(table.get("route", []), {u.name for u in upstreams}),
+        gaps=_gaps(table.get("gap"), "gap", "e164"),
     )
 
 
--- a/tests/test_gapping.py
+++ b/tests/test_gapping.py
@@ -6,8 +6,12 @@
 import signal
 import time
 
+import dns.edns
+import dns.rcode
+
 from harepick.net import binary, sip
 from tests import peers
+from tests.dnspeers import NUMBER, Client, Front, Upstream
 
 CLAIM = b"7f3a9c21e0b4d655"
 OTHER = b"0123456789abcdef"
@@ -96,3 +100,23 @@
     with place.run() as running:
         assert running.process.wait(5) == 2
         assert "gaps[0].interval_s" in running.text() and running.text().count("\n") == 1
+
+
+def test_on_enum_a_gapped_number_gets_servfail_with_the_time_and_sighup_lifts_it() -> None:
+    upstream = Upstream()
+    front = Front(upstream)
+    plain = front.path.read_text()
+    front.path.write_text(plain + '[[gap]]\nid = "radio"\nnumber = "+94111234"\ninterval_s = 1.0\n')
+    with front.run() as running:
+        client = Client(front.port)
+        answers = [client.ask() for _ in range(4)]
+        assert answers[0].rcode() == dns.rcode.NOERROR
+        refused = answers[1:]
+        assert all(a.rcode() == dns.rcode.SERVFAIL for a in refused)
+        assert all(any(o.otype == dns.edns.OptionType.EDE for o in a.options) for a in refused)
+        assert client.ask(f"5.{NUMBER}").rcode() == dns.rcode.NOERROR  # another number, longer
+        assert len(upstream.came()) == 2, "refused look-ups cost the upstream nothing"
+        front.path.write_text(plain)
+        running.process.send_signal(signal.SIGHUP)
+        peers.until(lambda: running.events("gaps")[1:], why="the lift")
+        assert [client.ask().rcode() for _ in range(3)] == [dns.rcode.NOERROR] * 3
