Spread the come-back of gapped callers over the interval after the next, from the seed

Change: GapScreen draws a share of one interval from a seeded source (the platform's seed; the ENUM seed) and adds it to the slot's rest; a gap that passes none tells its end unspread.

--- a/harepick/enumdns/service.py
+++ b/harepick/enumdns/service.py
@@ -121,7 +121,7 @@
         from harepick.gapping.gaps import GapError
         from harepick.gapping.screen import GapScreen
 
-        screen = self._screen or GapScreen(config.settings.zone)
+        screen = self._screen or GapScreen(config.settings.zone, config.seed or 0)
         try:
             told = screen.apply(config.gaps, time.time(), [config.call_class])
         except GapError as error:
--- a/harepick/gapping/screen.py
+++ b/harepick/gapping/screen.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterable, Mapping, Sequence
 from math import inf
 
 from harepick.gapping.config import Row
-from harepick.gapping.gaps import Call, Gap, GapError, Gaps, check
+from harepick.gapping.gaps import NONE, Call, Gap, GapError, Gaps, check
 
 EXPIRE_EVERY = 1.0  # seconds between looks for gaps that are over
 
@@ -19,8 +20,9 @@
 class GapScreen:
     """`harepick.core.words.Screen` over the gaps of this instance; `zone` is the instance's own."""
 
-    def __init__(self, zone: str = "") -> None:
+    def __init__(self, zone: str = "", seed: int = 0) -> None:
         self._zone = zone
+        self._rng = random.Random(seed)  # spreads the come-back: refused callers must not return together
         self._gaps = Gaps()
         self._rows: dict[str, tuple[Row, Gap]] = {}
         self._looked = -inf
@@ -58,14 +60,20 @@
         return told
 
     def refuses(self, called: str, class_name: str, now: float) -> float | None:
-        """None if the call passes every gap that counts for it; else the seconds until the gap that refused
-        has a turn again (0 if it never has, as with a gap that passes none until its end is unknown)."""
+        """None if the call passes every gap that counts for it; else the seconds to stay away: until the gap
+        that refused has a turn again, and a share of one interval more drawn from the seed (for a gap that
+        passes none, until its end, or 0 if it has none)."""
         if now - self._looked >= EXPIRE_EVERY:
             self._looked = now
             for gap in self._gaps.expire(now):
                 self._rows.pop(gap.id, None)
         verdict = self._gaps.decide(Call(called, class_name, self._zone), now)
-        return None if verdict.passed else verdict.come_back
+        if verdict.passed:
+            return None
+        interval = self._rows[verdict.gap][1].interval
+        if interval == NONE:
+            return verdict.come_back
+        return verdict.come_back + self._rng.random() * interval  # docs/design/gapping.md: come back
 
     def counts(self) -> Mapping[str, tuple[int, int, int]]:
         """By gap: calls offered, passed, and refused by it."""
--- a/harepick/net/service.py
+++ b/harepick/net/service.py
@@ -95,7 +95,7 @@
         if self._screen is None:
             from harepick.gapping.screen import GapScreen
 
-            screen = GapScreen(config.settings.zone)
+            screen = GapScreen(config.settings.zone, config.seed)
         else:
             screen = self._screen
         from harepick.gapping.gaps import GapError
