Add 'harepick gap list|explain FILE': a file's gaps and which a call would meet

Measured: a test lists three gaps, explains a number under a prefix and a number gap (both count) and under a gap that does not inherit (it alone), and refuses letters in an E.164 number with exit code 1 naming the gap.

--- a/tests/test_gap_screen.py
+++ b/tests/test_gap_screen.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+from pathlib import Path
+
 import pytest
 
 from harepick.gapping.config import Row, read_rows
@@ -112,3 +115,30 @@
     again.apply(rows({"id": "g", "number": CLAIM, "interval_s": 1.0}), 0.0)
     again.refuses(CLAIM, "", 0.0)
     assert [again.refuses(CLAIM, "", 0.5) for _ in range(200)] == told, "the seed decides"
+
+
+def test_the_command_lists_a_file_s_gaps_and_explains_which_a_call_meets(tmp_path: Path) -> None:
+    from click.testing import CliRunner
+
+    from harepick.cli.main import harepick
+
+    path = tmp_path / "enum.toml"
+    path.write_text(
+        '[[gap]]\nid = "district"\nprefix = "+9411"\ninterval_s = 1\n'
+        '[[gap]]\nid = "radio"\nnumber = "+94112345678"\ninterval_s = 0.5\n'
+        '[[gap]]\nid = "desk"\nnumber = "+94112345678"\nclass = "desk"\ninterval_s = 0\ninherit = false\n'
+    )
+    run = CliRunner().invoke
+    listed = run(harepick, ["gap", "list", str(path), "--json"])
+    assert listed.exit_code == 0 and [g["id"] for g in json.loads(listed.output)["gaps"]] == [
+        "district",
+        "radio",
+        "desk",
+    ]
+    explained = run(harepick, ["gap", "explain", CLAIM, str(path), "--json"])
+    assert json.loads(explained.output)["gaps"] == ["radio", "district"]
+    own = run(harepick, ["gap", "explain", CLAIM, str(path), "--class", "desk", "--json"])
+    assert json.loads(own.output)["gaps"] == ["desk"], "it does not inherit: the list ends with it"
+    path.write_text('[[gap]]\nid = "x"\nnumber = "+94abc"\ninterval_s = 1\n')
+    faulty = run(harepick, ["gap", "list", str(path)])
+    assert faulty.exit_code == 1 and "number is no" in faulty.output
