--- a/harepick/gapping/shares.py
+++ b/harepick/gapping/shares.py
@@ -53,6 +53,7 @@
 class _Gap:
     cursor: int = 0  # the first slot that nobody owns yet
     demand: OrderedDict[str, float] = field(default_factory=OrderedDict)  # instance -> its last told demand
+    held: dict[str, list[Block]] = field(default_factory=dict)  # instance -> its latest blocks
 
 
 class Allotment:
@@ -77,7 +78,38 @@
         length = max(1, min(MOST_BLOCK, round(share * MOST_BLOCK)))
         first = max(state.cursor, ask.first)
         state.cursor = first + length
-        return Block(ask.gap, ask.instance, first, length)
+        block = Block(ask.gap, ask.instance, first, length)
+        held = state.held.setdefault(ask.instance, [])
+        held.append(block)
+        del held[:-MOST_HELD]
+        for name in [name for name in state.held if name not in state.demand]:
+            del state.held[name]  # an instance forgotten by the demand: its blocks are long over
+        return block
+
+    def blocks(self, gap: str, instance: str) -> list[Block]:
+        """The latest blocks of an instance, oldest first."""
+        state = self._gaps.get(gap)
+        return list(state.held.get(instance, ())) if state else []
+
+    def dump(self) -> list[tuple[str, int, list[tuple[str, float]], list[tuple[str, int, int]]]]:
+        """The whole state as plain rows, for a snapshot: gap, cursor, demand, blocks."""
+        return [
+            (
+                name,
+                state.cursor,
+                list(state.demand.items()),
+                [(b.instance, b.first, b.length) for held in state.held.values() for b in held],
+            )
+            for name, state in self._gaps.items()
+        ]
+
+    def load(self, rows: list[tuple[str, int, list[tuple[str, float]], list[tuple[str, int, int]]]]) -> None:
+        """The state of `dump`, in place of this one."""
+        self._gaps = OrderedDict()
+        for name, cursor, demand, blocks in rows:
+            state = self._gaps[name] = _Gap(cursor, OrderedDict(demand))
+            for instance, first, length in blocks:
+                state.held.setdefault(instance, []).append(Block(name, instance, first, length))
 
     def cursor(self, gap: str) -> int:
         state = self._gaps.get(gap)
--- a/harepick/store/machine.py
+++ b/harepick/store/machine.py
@@ -11,6 +11,8 @@
 import msgspec
 from msgspec import Struct
 
+from harepick.gapping import Allotment, Ask
+
 FORMAT = 1  # of entries and snapshots; first byte of each
 MOST_SESSIONS = 4_096  # the one that was silent for longest is forgotten
 MOST_REVISIONS = 500
@@ -68,7 +70,17 @@
     at: float = 0.0
 
 
-Command = Put | RollBack | View
+class AskTurns(Struct, frozen=True, tag="turns"):
+    """An instance wants turns of a gap from slot `first` on (`harepick/gapping/shares.py`)."""
+
+    instance: str
+    gap: str
+    first: int
+    demand: float  # its calls offered a second, lately
+    at: float = 0.0
+
+
+Command = Put | RollBack | View | AskTurns
 
 
 class Envelope(Struct, frozen=True):
@@ -98,7 +110,16 @@
     why: str
 
 
-Result = Done | Conflict | Refused
+class Granted(Struct, frozen=True, tag="granted"):
+    """Slots [first, first + length) of the gap are the asker's."""
+
+    gap: str
+    first: int
+    length: int
+    index: int
+
+
+Result = Done | Conflict | Refused | Granted
 
 
 class Revision(Struct, frozen=True):
@@ -122,6 +143,9 @@
     revisions: list[Revision] = msgspec.field(default_factory=list)
     sessions: list[tuple[str, Session]] = msgspec.field(default_factory=list)
     views: dict[str, View] = msgspec.field(default_factory=dict)
+    turns: list[tuple[str, int, list[tuple[str, float]], list[tuple[str, int, int]]]] = msgspec.field(
+        default_factory=list
+    )  # `Allotment.dump`
 
 
 _envelope = msgspec.msgpack.Decoder(Envelope)
@@ -150,6 +174,7 @@
         self._history = 0  # bytes of their texts
         self._sessions: OrderedDict[str, Session] = OrderedDict()
         self.views: dict[str, View] = {}
+        self.turns = Allotment()  # of gaps' slots over the fleet
 
     @property
     def latest(self) -> Revision | None:
@@ -206,6 +231,9 @@
                 while len(self.views) > MOST_VIEWS:
                     del self.views[next(iter(self.views))]
                 return Done(self.latest.number if self.latest else 0, index)
+            case AskTurns(instance, gap, first, demand):
+                block = self.turns.apply(Ask(instance, gap, first, demand))
+                return Granted(gap, block.first, block.length, index)
 
     def _put(self, index: int, text: str, expect: int | None, author: str, note: str, at: float) -> Result:
         latest = self.latest.number if self.latest else 0
@@ -225,7 +253,13 @@
             self._history -= len(self._revisions.popitem(last=False)[1].text)
 
     def snapshot(self) -> bytes:
-        state = State(self.applied, list(self._revisions.values()), list(self._sessions.items()), self.views)
+        state = State(
+            self.applied,
+            list(self._revisions.values()),
+            list(self._sessions.items()),
+            self.views,
+            self.turns.dump(),
+        )
         return bytes([FORMAT]) + msgspec.msgpack.encode(state)
 
     def restore(self, data: bytes) -> None:
@@ -241,3 +275,5 @@
         self._history = sum(len(r.text) for r in state.revisions)
         self._sessions = OrderedDict(state.sessions)
         self.views = state.views
+        self.turns = Allotment()
+        self.turns.load(state.turns)
--- a/tests/test_gap_shares.py
+++ b/tests/test_gap_shares.py
@@ -79,3 +79,16 @@
     assert lost_after == held_then <= 2 * MOST_BLOCK
     used = sum(1 for s in range(100, 300) if s in passes)
     assert used >= 200 - lost_after - 1
+
+
+def test_the_store_s_machine_grants_turns_and_a_snapshot_keeps_the_allotment() -> None:
+    from harepick.store.machine import AskTurns, Envelope, Granted, Machine, encode
+
+    one = Machine()
+    first = one.apply(1, encode(Envelope("", 0, AskTurns("a", "radio", 10, 5.0))))
+    assert first == Granted("radio", 10, MOST_BLOCK, 1)
+    copy = Machine()
+    copy.restore(one.snapshot())
+    after = [m.apply(2, encode(Envelope("", 0, AskTurns("b", "radio", 0, 5.0)))) for m in (one, copy)]
+    assert after[0] == after[1] == Granted("radio", 10 + MOST_BLOCK, MOST_BLOCK // 2, 2)
+    assert copy.turns.blocks("radio", "a") == [Block("radio", "a", 10, MOST_BLOCK)]
