Let an instance pass a gap's call only in slots that it owns, on one grid of slots

Need: the fleet-wide allotment gives each slot of a gap one owner, but the decider counted turns for itself alone, and two instances that set the same gap at different moments numbered its slots differently. Change: Gaps.decide and GapScreen take `owns(gap, slot)`; a gap's start is put on the grid of its interval from the Unix epoch (its end still counts from when it was set).

--- a/harepick/gapping/gaps.py
+++ b/harepick/gapping/gaps.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from math import floor, inf
 from operator import attrgetter
@@ -23,6 +23,10 @@
 }
 
 
+# Gap id and slot from the Unix epoch -> whether this instance owns that slot's turns.
+Owner = Callable[[str, int], bool]
+
+
 class GapError(ValueError):
     """A gap that makes no sense; the text begins with the faulty key."""
 
@@ -177,15 +181,17 @@
             self.lift(gap.id)
         return over
 
-    def decide(self, call: Call, now: float) -> Verdict:
-        """Takes a turn at every gap that counts for this call, or at none."""
+    def decide(self, call: Call, now: float, owns: Owner | None = None) -> Verdict:
+        """Takes a turn at every gap that counts for this call, or at none. With `owns`, a slot's turns are
+        this instance's only if `owns(gap, slot)` says so, the slot counted from the Unix epoch: over a fleet
+        each slot has one owner (`shares.py`)."""
         counting = self._counting(call, now)
         if not counting:
             return PASSED
         verdict, waits = PASSED, 0.0
         for use in counting:
             use.offered += 1
-            wait = _wait(use, now)
+            wait = _wait(use, now, owns)
             if wait is not None and (verdict.passed or wait > waits):
                 verdict, waits = Verdict(False, use.gap.id, 0.0 if wait == inf else wait), wait
         for use in counting:
@@ -238,8 +244,8 @@
 _order = attrgetter("order")
 
 
-def _wait(use: _Use, now: float) -> float | None:
-    """None if it has a turn now, else the seconds until it has one; moves on to the slot of now."""
+def _wait(use: _Use, now: float, owns: Owner | None = None) -> float | None:
+    """None if it has a turn now, else the seconds until it may have one; moves on to the slot of now."""
     gap = use.gap
     if gap.interval == 0:
         return None
@@ -248,6 +254,7 @@
     slot = floor((now - gap.start) / gap.interval)
     if slot > use.slot:  # never back: a clock that jumps gives no second turn
         use.slot, use.taken = slot, 0
-    if use.taken < gap.count:
+    mine = owns is None or owns(gap.id, use.slot + round(gap.start / gap.interval))
+    if use.taken < gap.count and mine:
         return None
     return max(0.0, gap.start + (use.slot + 1) * gap.interval - now)
--- a/harepick/gapping/screen.py
+++ b/harepick/gapping/screen.py
@@ -9,10 +9,10 @@
 
 import random
 from collections.abc import Iterable, Mapping, Sequence
-from math import inf
+from math import floor, inf
 
 from harepick.gapping.config import Row
-from harepick.gapping.gaps import NONE, Call, Gap, GapError, Gaps, check
+from harepick.gapping.gaps import NONE, Call, Gap, GapError, Gaps, Owner, check
 
 EXPIRE_EVERY = 1.0  # seconds between looks for gaps that are over
 
@@ -20,8 +20,10 @@
 class GapScreen:
     """`harepick.core.words.Screen` over the gaps of this instance; `zone` is the instance's own."""
 
-    def __init__(self, zone: str = "", seed: int = 0) -> None:
+    def __init__(self, zone: str = "", seed: int = 0, owns: Owner | None = None) -> None:
+        """`owns`: over a fleet, whether this instance owns a gap's slot (`shares.py`); alone, every slot."""
         self._zone = zone
+        self.owns = owns
         self._rng = random.Random(seed)  # spreads the come-back: refused callers must not return together
         self._gaps = Gaps()
         self._rows: dict[str, tuple[Row, Gap]] = {}
@@ -67,7 +69,7 @@
             self._looked = now
             for gap in self._gaps.expire(now):
                 self._rows.pop(gap.id, None)
-        verdict = self._gaps.decide(Call(called, class_name, self._zone), now)
+        verdict = self._gaps.decide(Call(called, class_name, self._zone), now, self.owns)
         if verdict.passed:
             return None
         interval = self._rows[verdict.gap][1].interval
@@ -85,8 +87,12 @@
 
 
 def _gap(row: Row, start: float) -> Gap:
-    """A changed row keeps its start: its slots, and the time it runs, count from when it was first set."""
+    """A changed row keeps its start: its slots, and the time it runs, count from when it was first set. The
+    start is on the grid of the interval from the Unix epoch, so that instances that set the same gap at
+    different moments agree on its slots."""
     end = min(row.until, start + row.for_s)
+    if 0 < row.interval < NONE:
+        start = floor(start / row.interval) * row.interval
     return Gap(
         id=row.id,
         interval=row.interval,
--- a/tests/test_gap_shares.py
+++ b/tests/test_gap_shares.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from harepick.gapping.gaps import Owner
 from harepick.gapping.shares import MOST_BLOCK, Allotment, Ask, Block, Holdings
 
 ASKS = st.lists(
@@ -92,3 +93,36 @@
     after = [m.apply(2, encode(Envelope("", 0, AskTurns("b", "radio", 0, 5.0)))) for m in (one, copy)]
     assert after[0] == after[1] == Granted("radio", 10 + MOST_BLOCK, MOST_BLOCK // 2, 2)
     assert copy.turns.blocks("radio", "a") == [Block("radio", "a", 10, MOST_BLOCK)]
+
+
+def test_two_screens_on_one_allotment_pass_one_call_a_slot_between_them() -> None:
+    """Two instances that set the same gap 0.3 s apart, each flooded, each asking as it runs low: over both,
+    one call passes in each slot, and the slots are all used once both hold blocks."""
+    from harepick.gapping.config import read_rows
+    from harepick.gapping.screen import GapScreen
+
+    allotment = Allotment()
+    rows = read_rows([{"id": "radio", "number": "+94112345678", "interval_s": 0.5}], "gaps", "e164")
+
+    def owner(name: str) -> Owner:
+        def owns(gap: str, slot: int) -> bool:
+            return any(slot in block for block in allotment.blocks(gap, name))
+
+        return owns
+
+    screens = {name: GapScreen(owns=owner(name)) for name in "ab"}
+    screens["a"].apply(rows, 1000.1)
+    screens["b"].apply(rows, 1000.4)
+    passes: dict[int, int] = {}
+    now = 1000.5
+    while now < 1030.0:
+        slot = int(now // 0.5)
+        for name in "ab":
+            held = allotment.blocks("radio", name)
+            if max((b.end for b in held), default=slot) - slot < 2:
+                allotment.apply(Ask(name, "radio", slot + 1, 100.0))
+            if screens[name].refuses("+94112345678", "", now) is None:
+                passes[slot] = passes.get(slot, 0) + 1
+        now += 0.01
+    assert max(passes.values()) == 1
+    assert len(passes) >= 0.9 * (30.0 / 0.5)
