Build the fleet fault rig: relay, process faults, scenarios, histories, a checker

Options in docs/design/fleet_rig.md (kernel rules and hooks in the program were rejected for a relay on loopback; a parent-death signal for a keeper process).

Change: harepick/fleet/. faults.py what links do to messages (pure, by direction, partitions), relay.py carries it out on store frames and datagrams and knows who speaks from the hello; keeper.py and processes.py start instances as run does, signal and end each by its id; scenario.py one reader that names the faulty key, and the seed's timeline; load.py, standins.py (sockets of their own for each revision, the kernel's time stamps); history.py and [history] in an operator's file (what left, under which revision and lease, on the machine's monotonic clock); checks.py nine checks, each with the shortest stretch that shows a violation; child.py clock rates and broken rules; plot.py; the command `harepick fleet play|timeline|check`; six scenarios under deploy/scenarios. Free ports moved into the package. Gate.left tells a gate which set-up left, after its last look.

Found on the way: the rig's own tool is led to the leader through the relay, so "*" must not cut tools (a change hung for 50 s until its time-out).

The twin that ignores its lease is found by no_stale_act and no_stale_arrival, and by no other check. A rig killed with SIGKILL while one instance was stopped leaves none of its three processes. 58 new tests.

--- a/benchmarks/daemons.py
+++ b/benchmarks/daemons.py
@@ -28,7 +28,7 @@
 import dns.rdatatype
 import orjson
 
-from tests.peers import free_port
+from harepick.fleet.ports import free_ports
 
 ROOT = Path(__file__).parent.parent
 SO_TIMESTAMPNS = 35
@@ -37,13 +37,6 @@
 SUFFIX = "e164.arpa."
 
 
-def free_ports(count: int) -> list[int]:
-    ports: set[int] = set()
-    while len(ports) < count:
-        ports.add(free_port())
-    return list(ports)
-
-
 class Daemon:
     """One instance: its file and folder outlive its processes."""
 
--- a/benchmarks/gap_load.py
+++ b/benchmarks/gap_load.py
@@ -27,8 +27,9 @@
 from typing import Any
 
 from benchmarks.daemons import print_line
+from harepick.fleet.ports import free_port
 from harepick.net import binary, sip
-from tests.peers import event, free_port, row
+from tests.peers import event, row
 from tests.test_wire import OPTIONS
 
 ROOT = Path(__file__).parent.parent
--- a/benchmarks/store_cost.py
+++ b/benchmarks/store_cost.py
@@ -28,11 +28,11 @@
     Daemon,
     Upstreams,
     config_text,
-    free_ports,
     percentile,
     print_line,
     query_bytes,
 )
+from harepick.fleet.ports import free_ports
 from harepick.settings import address
 from harepick.store.client import StoreClient
 from harepick.store.disk.files import OsFiles
--- a/harepick/cli/main.py
+++ b/harepick/cli/main.py
@@ -11,6 +11,7 @@
 
 GROUPS = {
     "config": ("harepick.cli.config", "config", "Read and change the store's configuration."),
+    "fleet": ("harepick.cli.fleet", "fleet", "Play scenarios of faults on a fleet of instances."),
     "gap": ("harepick.cli.gap", "gap", "Look at the gaps that a configuration file sets."),
     "run": ("harepick.cli.run", "run", "Run one instance."),
     "store": ("harepick.cli.store", "store", "Set up and look after the replicated store."),
--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -395,6 +395,8 @@
             outcome = self._servers.place(attempt)
         if outcome is None:
             self._timers.set(deadline, attempt)
+            if self._gate:
+                self._gate.left(attempt)
             return
         entry.out = attempt
         self._late.extend(self._ended(attempt, outcome, now))
@@ -412,10 +414,10 @@
 
     def _may_leave(self, attempt: Attempt, now: float) -> bool:
         """The last look before a set-up's bytes leave: the rules hold at that moment, not at the decision."""
-        return (
-            not attempt.ended
-            and not attempt.revoked
-            and now < attempt.deadline
-            and attempt.server in self._ready
-            and (self._gate is None or self._gate.may_leave(attempt.server))
-        )
+        if attempt.ended or attempt.revoked or now >= attempt.deadline or attempt.server not in self._ready:
+            return False
+        if self._gate is None:
+            return True
+        if attempt.sent is None:
+            attempt.looked = now
+        return self._gate.may_leave(attempt.server)
--- a/harepick/core/words.py
+++ b/harepick/core/words.py
@@ -57,6 +57,7 @@
     request: object
     guard: Callable[[Attempt, float], bool] = field(repr=False)
     sent: float | None = None  # when its bytes left
+    looked: float = 0.0  # when a gate let it leave, right before the bytes did
     ended: bool = False
     revoked: bool = False
 
@@ -87,6 +88,9 @@
     def may_leave(self, server: str) -> bool:
         """Whether a set-up to this server may leave now."""
 
+    def left(self, attempt: Attempt) -> None:
+        """It left; `attempt.looked` tells when the last look was."""
+
 
 class Screen(Protocol):
     """What an operator said of numbers, asked before a call is booked (number gapping)."""
--- /dev/null
+++ b/harepick/fleet/checks.py
@@ -0,0 +1,274 @@
+"""The checker: properties of a merged history, each with the shortest stretch that shows it broken. Pure.
+
+A check reads events (`history.py`) and tells figures, which go into the report, and violations. What each
+event means is said where it is written: `store/attach.py` for instances, `play.py` for the rig.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from harepick.fleet.history import Event
+
+ANSWER = 2.6  # seconds that a look-up may take: its deadline, and what a busy machine adds
+BRINK = 0.1  # seconds round a process's stop and start in which nothing is asked of it
+MOST_TOLD = 20  # violations of one check that are kept; all are counted
+RIG = "rig"  # the name under which the rig writes
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """`stretch`: the fewest events that show it, in order."""
+
+    check: str
+    why: str
+    stretch: tuple[Event, ...]
+
+
+@dataclass(slots=True)
+class Finding:
+    """What one check found. `count` counts violations; `told` keeps the first of them."""
+
+    figures: dict[str, float] = field(default_factory=dict)
+    count: int = 0
+    told: list[Violation] = field(default_factory=list)
+
+    def against(self, check: str, why: str, *stretch: Event | None) -> None:
+        self.count += 1
+        if len(self.told) < MOST_TOLD:
+            self.told.append(Violation(check, why, tuple(e for e in stretch if e is not None)))
+
+
+Run = Callable[[Sequence[Event], Mapping[str, Any]], Finding]
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    run: Run
+    arguments: tuple[str, ...] = ()
+
+
+def _of(events: Iterable[Event], *names: str) -> list[Event]:
+    return [event for event in events if event.event in names]
+
+
+def _acks(events: Sequence[Event]) -> tuple[list[float], list[Event]]:
+    """Acknowledgements as they raised the latest revision, and their times."""
+    kept: list[Event] = []
+    for event in _of(events, "acked"):
+        if not kept or event["revision"] > kept[-1]["revision"]:
+            kept.append(event)
+    return [event.mono for event in kept], kept
+
+
+def _stale(events: Sequence[Event], check: str, what: str, field_name: str) -> Finding:
+    """Events `what` under a revision older than the last acknowledged when they were."""
+    finding = Finding()
+    times, acks = _acks(events)
+    adopted: dict[str, Event] = {}
+    acts = 0
+    for event in events:
+        if event.event == "adopted":
+            adopted[event.name] = event
+        elif event.event == what:
+            acts += 1
+            at = bisect.bisect_right(times, event.mono)
+            if at and event["revision"] < acks[at - 1]["revision"]:
+                ack = acks[bisect.bisect_right([a["revision"] for a in acks], event["revision"])]
+                late = (event.mono - ack.mono) * 1000
+                why = (
+                    f"{event.name} acted under revision {event['revision']} "
+                    f"{late:.1f} ms after revision {ack['revision']} was acknowledged"
+                )
+                finding.against(check, why, adopted.get(event.name), ack, event)
+    finding.figures = {field_name: finding.count, what: acts}
+    return finding
+
+
+def no_stale_act(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """No set-up leaves an instance under a revision older than the last one acknowledged."""
+    return _stale(events, "no_stale_act", "left", "stale_acts")
+
+
+def no_stale_arrival(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """The same from outside: nothing arrives at a server that only an older revision names."""
+    return _stale(events, "no_stale_arrival", "arrived", "stale_arrivals")
+
+
+def no_ack_lost(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """Every change acknowledged is in the store's own history at the end, once, as the revision told."""
+    finding = Finding()
+    kept: dict[str, list[Event]] = defaultdict(list)
+    ends = _of(events, "kept")
+    for event in ends:
+        kept[event["note"]].append(event)
+    oldest = min((event["revision"] for event in ends), default=0)
+    acks = _of(events, "acked")
+    for ack in acks:
+        if ack["revision"] < oldest:
+            continue  # older than the history that the store keeps
+        rows = kept.get(ack["note"], [])
+        if (found := [row["revision"] for row in rows]) != [ack["revision"]]:
+            why = f"{ack['note']} was acknowledged as revision {ack['revision']}, and is kept as {found}"
+            finding.against("no_ack_lost", why, ack, *rows)
+    finding.figures = {"changes_acked": len(acks), "acks_lost": finding.count}
+    return finding
+
+
+def away(events: Sequence[Event]) -> dict[str, list[tuple[float, float]]]:
+    """For each instance the times between which it was not running: killed, stopped or paused."""
+    since: dict[str, float] = {}
+    spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    for event in _of(events, "process"):
+        name, what = event["whom"], event["what"]
+        if what in ("kill", "stop", "pause", "ended"):
+            since.setdefault(name, event.mono)
+        elif what in ("serving", "resume") and name in since:
+            spans[name].append((since.pop(name), event.mono))
+    for name, start in since.items():
+        spans[name].append((start, float("inf")))
+    return spans
+
+
+def one_answer(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """Each look-up has one answer at most, and one for certain if its instance ran all the while."""
+    finding = Finding()
+    spans = away(events)
+    figures: Counter[str] = Counter(lookups=0, served=0, refused=0, judged=0, unanswered=0, answered_twice=0)
+    for event in _of(events, "lookup"):
+        figures["lookups"] += 1
+        answers = event["answers"]
+        if answers:
+            figures["served" if event["rcode"] == 0 else "refused"] += 1
+        if answers > 1:
+            figures["answered_twice"] += 1
+            why = f"a look-up at {event['instance']} had {answers} answers"
+            finding.against("one_answer", why, event)
+        start, end = event.mono - BRINK, event.mono + ANSWER
+        if any(start <= back and since <= end for since, back in spans.get(event["instance"], ())):
+            continue
+        figures["judged"] += 1
+        if not answers:
+            figures["unanswered"] += 1
+            why = f"a look-up at {event['instance']}, which ran all the while, had no answer in {ANSWER} s"
+            finding.against("one_answer", why, event)
+    finding.figures = dict(figures)
+    return finding
+
+
+def one_leader_a_term(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """No two instances lead in the same term."""
+    finding = Finding()
+    leaders: dict[int, Event] = {}
+    for event in _of(events, "role"):
+        if event["role"] != "leader":
+            continue
+        first = leaders.setdefault(event["term"], event)
+        if first.name != event.name:
+            why = f"{first.name} and {event.name} both led in term {event['term']}"
+            finding.against("one_leader_a_term", why, first, event)
+    finding.figures = {"terms_led": len(leaders)}
+    return finding
+
+
+def complete(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """No history has lines left out, and every instance that was started wrote one."""
+    finding = Finding()
+    lost = 0
+    for event in events:
+        if left_out := event.fields.get("left_out"):
+            lost += left_out
+            finding.against("complete", f"{event.name} left out {left_out} lines", event)
+    wrote = {event.name for event in _of(events, "began")}
+    for event in _of(events, "process"):
+        if event["what"] == "serving" and event["whom"] not in wrote:
+            wrote.add(event["whom"])
+            finding.against("complete", f"{event['whom']} wrote no history", event)
+    finding.figures = {"events": len(events), "lines_left_out": lost}
+    return finding
+
+
+def no_crash(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """No instance ends but by the rig's own doing, and none steps aside."""
+    finding = Finding()
+    for event in events:
+        if event.event == "process" and event["what"] == "ended":
+            why = f"{event['whom']} ended by itself with code {event['code']}"
+            finding.against("no_crash", why, event)
+        elif event.event == "role" and event["stopped"]:
+            finding.against("no_crash", f"{event.name} stepped aside: {event['stopped']}", event)
+    finding.figures = {"crashes": finding.count}
+    return finding
+
+
+def most_out(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """Never more than `most` machines are out for work at once (`out` and `back`, by `machine`)."""
+    finding = Finding()
+    out: dict[str, Event] = {}
+    highest = 0
+    for event in _of(events, "out", "back"):
+        if event.event == "back":
+            out.pop(event["machine"], None)
+            continue
+        out.setdefault(event["machine"], event)
+        highest = max(highest, len(out))
+        if len(out) > arguments["most"]:
+            why = f"{len(out)} machines out at once, {arguments['most']:g} may be: {', '.join(out)}"
+            finding.against("most_out", why, *out.values())
+    finding.figures = {"most_out_at_once": highest}
+    return finding
+
+
+def admissions(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """Over every window of `window_s`, admissions (`admitted`, by `limit`) are no more than `per_s` times
+    the window and `epsilon` over it."""
+    finding = Finding()
+    window, allowed = arguments["window_s"], arguments["per_s"] * arguments["window_s"]
+    worst = 0
+    by_limit: dict[str, list[Event]] = defaultdict(list)
+    for event in _of(events, "admitted"):
+        by_limit[event["limit"]].append(event)
+    for limit, rows in by_limit.items():
+        first = 0
+        for last, event in enumerate(rows):
+            while rows[first].mono <= event.mono - window:
+                first += 1
+            worst = max(worst, last - first + 1)
+            if last - first + 1 > allowed + arguments["epsilon"]:
+                stretch = rows[first : last + 1]
+                why = f"limit {limit}: {len(stretch)} in {window:g} s, {allowed:g} may be"
+                finding.against("admissions", why, *stretch)
+    finding.figures = {"worst_window": worst, "worst_window_over": max(0.0, worst - allowed)}
+    return finding
+
+
+CHECKS: dict[str, Check] = {
+    "no_stale_act": Check(no_stale_act),
+    "no_stale_arrival": Check(no_stale_arrival),
+    "no_ack_lost": Check(no_ack_lost),
+    "one_answer": Check(one_answer),
+    "one_leader_a_term": Check(one_leader_a_term),
+    "complete": Check(complete),
+    "no_crash": Check(no_crash),
+    "most_out": Check(most_out, ("most",)),
+    "admissions": Check(admissions, ("per_s", "window_s", "epsilon")),
+}
+
+
+def run_checks(
+    events: Sequence[Event], wanted: Mapping[str, Mapping[str, Any]]
+) -> tuple[dict[str, float], dict[str, int], list[Violation]]:
+    """Figures of all checks, violations counted by check, and the violations kept."""
+    figures: dict[str, float] = {}
+    counts: dict[str, int] = {}
+    told: list[Violation] = []
+    for name, arguments in wanted.items():
+        finding = CHECKS[name].run(events, arguments)
+        figures |= finding.figures
+        counts[name] = finding.count
+        told += finding.told
+    return figures, counts, told
--- /dev/null
+++ b/harepick/fleet/child.py
@@ -0,0 +1,51 @@
+"""An instance of the program with its clock's rate changed, or with one rule broken: for the rig alone.
+
+    python -m harepick.fleet.child [--clock-rate R] [--double NAME] -- --operator FILE
+
+Without either the rig starts `python -m harepick` itself. A double shows that a check can fail.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Callable
+
+from harepick import __main__ as program
+
+
+def _skewed(rate: float) -> None:
+    """The store's clock, the one seam it is read through, runs at `rate` from now on."""
+    from harepick.store import replica
+
+    true = replica.clock
+    start = true()
+    replica.clock = lambda: start + (true() - start) * rate
+
+
+def _stale_lease() -> None:
+    """Breaks: an instance acts only while it holds its lease."""
+    from harepick.store.fence import Lease
+
+    Lease.holds = lambda self, now: True  # type: ignore[method-assign]
+
+
+DOUBLES: dict[str, Callable[[], None]] = {"stale-lease": _stale_lease}
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="harepick.fleet.child", description=__doc__)
+    parser.add_argument("--clock-rate", type=float, default=1.0)
+    parser.add_argument("--double", choices=sorted(DOUBLES))
+    parser.add_argument("words", nargs="*", help="what follows -- goes to the program")
+    wanted = parser.parse_args()
+    if wanted.clock_rate != 1.0:
+        _skewed(wanted.clock_rate)
+    if wanted.double:
+        DOUBLES[wanted.double]()
+    sys.argv = ["harepick", *wanted.words]
+    return program.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/harepick/fleet/load.py
@@ -0,0 +1,131 @@
+"""The load that a play offers: look-ups to each instance on the scenario's schedule, and their answers.
+
+Every look-up becomes one `lookup` line of the rig's history: which instance, when it was sent, how many
+answers came, and the first one's code and time.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections import OrderedDict
+from contextlib import suppress
+from dataclasses import dataclass
+from random import Random
+
+import anyio
+import dns.message
+import dns.name
+import dns.rdatatype
+
+from harepick.fleet.checks import ANSWER
+from harepick.fleet.history import Recorder
+from harepick.fleet.ports import HOST
+from harepick.fleet.scenario import Load
+
+SUFFIX = "e164.arpa."
+QUERIES = 512  # made beforehand for each instance, so that the schedule is kept
+DIGITS = 11  # of a called number
+TURN = 0.005  # seconds between two looks at the schedule
+DATAGRAM = 4096
+
+
+def query_bytes(number: str) -> bytes:
+    """A NAPTR look-up of `+` and digits, without its two bytes of id."""
+    name = ".".join(reversed(number.lstrip("+"))) + "." + SUFFIX
+    query = dns.message.make_query(dns.name.from_text(name), dns.rdatatype.NAPTR, use_edns=0)
+    return query.to_wire()[2:]
+
+
+@dataclass(slots=True)
+class _Sent:
+    at: float
+    answers: int = 0
+    rcode: int = -1
+    took: float = 0.0
+
+
+class Asker:
+    """Look-ups to one instance."""
+
+    def __init__(
+        self, name: str, place: int, instances: int, port: int, load: Load, seed: int, history: Recorder
+    ) -> None:
+        self.name = name
+        self._place, self._instances, self._load, self._history = place, instances, load, history
+        rng = Random(seed * 7919 + place)
+        prefixes = [prefix for prefix, _ in load.numbers]
+        weights = [weight for _, weight in load.numbers]
+        self._queries = []
+        for _ in range(QUERIES):
+            prefix = rng.choices(prefixes, weights)[0]
+            rest = "".join(rng.choice("0123456789") for _ in range(max(0, DIGITS + 1 - len(prefix))))
+            self._queries.append(query_bytes(prefix + rest))
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+        self._to = (HOST, port)
+        self._open: OrderedDict[int, _Sent] = OrderedDict()  # id -> look-up
+        self._count = 0
+        self.stopped = False
+
+    async def run(self, start: float) -> None:
+        """Until cancelled; sends from `start` on, a time of the monotonic clock."""
+        with self._sock:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._hear)
+                owed, last = 0.0, start
+                while True:
+                    now = time.monotonic()
+                    if not self.stopped:
+                        owed += self._load.at(now - start, self._place, self._instances) * (now - last)
+                        owed = min(owed, 50.0)  # after a stall of the rig no flood is made up for
+                    last = now
+                    while owed >= 1.0:
+                        owed -= 1.0
+                        self._ask()
+                    self._settle(now)
+                    await anyio.sleep(TURN)
+
+    def _ask(self) -> None:
+        ident = self._count & 0xFFFF
+        data = ident.to_bytes(2, "big") + self._queries[self._count % QUERIES]
+        self._count += 1
+        self._open[ident] = _Sent(time.monotonic())
+        with suppress(OSError):  # nobody listens there for now
+            self._sock.sendto(data, self._to)
+
+    async def _hear(self) -> None:
+        while True:
+            await anyio.wait_readable(self._sock)
+            with suppress(OSError):  # the port is closed for now, or nothing more is there
+                while True:
+                    data = self._sock.recv(DATAGRAM)
+                    sent = self._open.get(int.from_bytes(data[:2], "big"))
+                    if sent is None:
+                        continue
+                    sent.answers += 1
+                    if sent.answers == 1:
+                        sent.rcode, sent.took = data[3] & 15, time.monotonic() - sent.at
+
+    def _settle(self, now: float) -> None:
+        """Writes down the look-ups whose time is over."""
+        while self._open:
+            ident, sent = next(iter(self._open.items()))
+            if now - sent.at <= ANSWER:
+                return
+            del self._open[ident]
+            self._history.note(
+                "lookup",
+                mono=sent.at,
+                instance=self.name,
+                answers=sent.answers,
+                rcode=sent.rcode,
+                took_ms=round(sent.took * 1000, 3),
+            )
+
+    async def finish(self) -> None:
+        """No more look-ups; returns once all that were sent are settled."""
+        self.stopped = True
+        while self._open:
+            await anyio.sleep(TURN)
--- a/harepick/log.py
+++ b/harepick/log.py
@@ -11,6 +11,7 @@
 import threading
 import time
 from collections.abc import MutableMapping
+from math import inf
 from typing import Any
 
 import orjson
@@ -23,10 +24,18 @@
 
 
 class Log:
-    def __init__(self, name: str = "", fd: int = 2) -> None:
+    def __init__(
+        self,
+        name: str = "",
+        fd: int = 2,
+        *,
+        lines_a_second: float = LINES_A_SECOND,
+        queue_size: int = QUEUE,
+    ) -> None:
         self._name = name
         self._fd = fd
-        self._queue: queue.Queue[bytes | None] = queue.Queue(QUEUE)
+        self._rate = lines_a_second  # of one event name
+        self._queue: queue.Queue[bytes | None] = queue.Queue(queue_size)
         self._allowance: dict[str, tuple[float, float, int]] = {}  # event -> (tokens, when, left out)
         self._thread = threading.Thread(target=self._write, daemon=True)
         self._thread.start()
@@ -39,8 +48,9 @@
         """One event, unless its name has had its share of this second: that is looked at first, as it has to
         cost next to nothing in a flood."""
         now = time.time()
-        tokens, when, left_out = self._allowance.get(event, (LINES_A_SECOND, now, 0))
-        tokens = min(LINES_A_SECOND, tokens + (now - when) * LINES_A_SECOND)
+        rate = self._rate
+        tokens, when, left_out = self._allowance.get(event, (rate, now, 0))
+        tokens = min(rate, tokens + (now - when) * rate) if rate < inf else inf
         if tokens < 1.0:
             self._allowance[event] = (tokens, now, left_out + 1)
             return
--- a/harepick/store/attach.py
+++ b/harepick/store/attach.py
@@ -7,16 +7,18 @@
 
 from __future__ import annotations
 
+import os
 import time
 from collections.abc import Mapping
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 from anyio.abc import TaskStatus
 
 from harepick import interface as i
+from harepick.core.words import Attempt
 from harepick.counters import Counters
 from harepick.directory import Row
 from harepick.enumdns.service import EnumFront, ready_servers
@@ -29,8 +31,12 @@
 from harepick.store.replica import Replica, StoreUnavailableError
 from harepick.store.settings import StoreSettings, read_store
 
+if TYPE_CHECKING:
+    from harepick.fleet.history import Recorder
+
 VIEW_EVERY = 1.0  # seconds between two writes of the pool view
 FIRST_EVERY = 0.5  # between two tries to write the first configuration
+HISTORY_EVERY = 1.0  # between two looks at the role, if nothing wakes the watch
 # Until a configuration is known: everything is refused with a time to come back, as the gate is shut.
 NOTHING = '[[upstream]]\nname = "none"\naddress = "127.0.0.1:9"\ndraining = true\n'
 
@@ -46,6 +52,7 @@
             raise SettingsError("setting store is missing")
         self.settings: StoreSettings = settings
         self._own, self._first = _own_part(table, path)
+        self._history = _recorder(table, settings.replica)
         self._counters, self._log = counters, log
         self._allowed: frozenset[str] = frozenset()
         self._revision = 0
@@ -73,6 +80,19 @@
     def may_leave(self, server: str) -> bool:
         return server in self._allowed and self.replica.may_act()
 
+    def left(self, attempt: Attempt) -> None:
+        if self._history:
+            # The time of the last look: an acknowledgement after it may have crossed the bytes.
+            looked = time.monotonic() - (time.time() - attempt.looked)
+            self._history.note(
+                "left",
+                mono=looked,
+                call=attempt.call,
+                server=attempt.server,
+                revision=self._revision,
+                lease_left=self.replica.lease_left(),
+            )
+
     def _adopt(self, revision: Revision) -> None:
         """From here on nothing leaves under an older one."""
         config = read_shared(revision.text, self._own)
@@ -83,6 +103,8 @@
             self._remember()
         self.front.apply(config)
         self._counters.add("store.adopted")
+        if self._history:
+            self._history.note("adopted", revision=revision.number, index=revision.index)
         self._log.event("store_adopted", revision=revision.number, author=revision.author)
 
     # Running
@@ -94,11 +116,25 @@
             Operators(self.replica, self._counters)
             await tasks.start(self.replica.run)
             tasks.start_soon(self._tell_view)
+            if self._history:
+                tasks.start_soon(self._tell_history, self._history)
             if self._first is not None:
                 tasks.start_soon(self._write_first, self._first)
             await self.front.run(stop, task_status=task_status)
             tasks.cancel_scope.cancel()
 
+    async def _tell_history(self, history: Recorder) -> None:
+        """Changes of role, and of whether this instance may act."""
+        history.note("began", process=os.getpid())
+        seen: tuple[object, ...] = ()
+        while True:
+            node = self.replica.node
+            now = (node.raft.role.value, node.raft.term, node.raft.leader, node.stopped)
+            if now != seen:
+                seen = now
+                history.note("role", role=now[0], term=now[1], leader=now[2], stopped=now[3])
+            await self.replica.changed(HISTORY_EVERY)
+
     async def _write_first(self, text: str) -> None:
         """The first configuration of a new cluster, from the file that `store.first` names; one of them
         wins."""
@@ -162,9 +198,23 @@
                 self._counters.add("store.views")
 
 
+def _recorder(table: Mapping[str, Any], replica: str) -> Recorder | None:
+    """The history, if `[history]` asks for one; else its part of the program is not even loaded."""
+    if "history" not in table:
+        return None
+    from harepick.fleet.history import Recorder, read_history
+
+    path = read_history(table)
+    assert path
+    try:
+        return Recorder(path, replica)
+    except OSError as error:
+        raise SettingsError(f"setting history.file: {error.strerror}: {path}") from None
+
+
 def _own_part(table: Mapping[str, Any], path: str) -> tuple[dict[str, Any], str | None]:
     """An instance's own keys of [enum], and the text of the first configuration."""
-    for section in sorted(table.keys() - {"store", "enum"}):
+    for section in sorted(table.keys() - {"store", "enum", "history"}):
         raise SettingsError(
             f"setting {section} belongs in the store's configuration: "
             "put it in the file that store.first names"
--- a/harepick/store/client.py
+++ b/harepick/store/client.py
@@ -80,6 +80,10 @@
             with anyio.move_on_after(0.5, shield=True):
                 await line.stream.aclose()
 
+    def again(self) -> None:
+        """The next `set` or `rollback` repeats the last, whose fate is not known: it takes effect once."""
+        self._number -= 1
+
     async def _connect(self, where: Address) -> _Line:
         if self._line and self._at == where:
             return self._line
--- a/harepick/store/replica.py
+++ b/harepick/store/replica.py
@@ -370,6 +370,10 @@
     def may_act(self) -> bool:
         return self.node.may_act(clock())
 
+    def lease_left(self) -> float:
+        """Seconds for which this instance may still act, by its own clock."""
+        return self.node.lease.left(clock())
+
     def come_back(self) -> float:
         """Seconds after which a refused caller may find this instance current."""
         return STOPPED_COME_BACK if self.node.stopped else self.settings.lease
--- a/tests/dnspeers.py
+++ b/tests/dnspeers.py
@@ -17,6 +17,7 @@
 import dns.reversename
 import dns.rrset
 
+from harepick.fleet.ports import free_port
 from tests import peers
 
 NUMBER = "4.3.2.1.1.1.4.9.e164.arpa."
@@ -51,7 +52,7 @@
         self.queries: list[tuple[float, str, dns.message.Message, int]] = []  # time, way, query, port
         self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._udp.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
-        self.port = peers.free_port()
+        self.port = free_port()
         self._tcp = socket.create_server(("127.0.0.1", self.port))
         self._udp.bind(("127.0.0.1", self.port))
         for work in (self._serve_udp, self._serve_tcp):
@@ -149,7 +150,7 @@
     """The program with its ENUM front, in front of the given upstreams."""
 
     def __init__(self, *upstreams: Upstream, deadline_ms: int = 2000) -> None:
-        self.port = peers.free_port()
+        self.port = free_port()
         self.deadline_ms = deadline_ms
         self._folder = TemporaryDirectory()
         self.path = Path(self._folder.name) / "enum.toml"
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -17,6 +17,7 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
+from harepick.fleet.ports import free_port
 from harepick.net import binary, sip
 from tests.test_wire import OPTIONS
 
@@ -38,24 +39,6 @@
     return socket.create_server(("127.0.0.1", 0))
 
 
-BELOW_EPHEMERAL = range(20_000, 32_000)
-
-
-def free_port() -> int:
-    """A port that is free for TCP and UDP, below those that the system gives to sockets without one: it stays
-    free until the program that it is for has started."""
-    while True:
-        port = secrets.choice(BELOW_EPHEMERAL)
-        with (
-            socket.socket() as tcp,
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
-            suppress(OSError),
-        ):
-            tcp.bind(("127.0.0.1", port))
-            udp.bind(("127.0.0.1", port))
-            return port
-
-
 def ops_call(port: int, path: str, method: str = "GET", within: float = 2.0) -> tuple[int, bytes]:
     """One call to the `ops` listener, as a scraper makes it: status and body."""
     connection = HTTPConnection("127.0.0.1", port, timeout=within)
--- /dev/null
+++ b/tests/test_fleet_parts.py
@@ -0,0 +1,230 @@
+"""The rig's pure parts: links, scenarios, and the checker, which has to be able to fail."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from harepick.fleet.checks import CHECKS, run_checks
+from harepick.fleet.faults import ANY, CLEAR, TOOL, Fault, Lane, Network
+from harepick.fleet.history import Event, Recorder, merge
+from harepick.fleet.scenario import Scenario, make_scenario, read_scenario
+from harepick.settings import SettingsError
+
+SCENARIOS = sorted((Path(__file__).parent.parent / "deploy" / "scenarios").glob("*.toml"))
+
+# Links
+
+
+def test_a_partition_parts_groups_and_leaves_tools_and_strangers_alone() -> None:
+    network = Network()
+    network.partition([["a", "b"], ["c"]])
+    assert network.fault("a", "c").drop and network.fault("c", "b").drop
+    assert not network.fault("a", "b").drop
+    assert not network.fault(TOOL, "c").drop and not network.fault("c", TOOL).drop
+    assert not network.fault("d", "c").drop  # in no group
+    network.heal()
+    assert network.fault("a", "c") is CLEAR
+
+
+def test_a_one_way_fault_holds_one_way_and_the_exact_link_goes_first() -> None:
+    network = Network()
+    network.set("a", ANY, Fault(drop=True))
+    network.set("a", "b", Fault(delay=0.5))
+    assert network.fault("a", "c").drop and not network.fault("c", "a").drop
+    assert network.fault("a", "b") == Fault(drop=True, delay=0.5)
+    assert network.fault("a", TOOL) is CLEAR
+    network.set("a", ANY, CLEAR)
+    assert network.fault("a", "b") == Fault(delay=0.5)
+
+
+FAULTS = st.builds(
+    Fault,
+    delay=st.floats(0, 0.2),
+    jitter=st.floats(0, 0.2),
+    rate=st.sampled_from([0.0, 1e4, 1e6]),
+    loss=st.sampled_from([0.0, 0.3]),
+    duplicate=st.sampled_from([0.0, 0.3]),
+)
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(fault=FAULTS, seed=st.integers(0, 99), gaps=st.lists(st.floats(0, 0.05), min_size=1, max_size=40))
+def test_without_reordering_a_lane_keeps_its_order_and_the_same_seed_does_the_same(
+    fault: Fault, seed: int, gaps: list[float]
+) -> None:
+    plays = []
+    for _ in range(2):
+        lane, now, out = Lane(Random(seed)), 0.0, []
+        for n, gap in enumerate(gaps):
+            now += gap
+            for passage in lane.passages(bytes([n]), now, fault):
+                assert passage.due >= now + fault.delay - 1e-9
+                out.append((passage.due, passage.data))
+        assert out == sorted(out, key=lambda row: row[0])
+        assert [d for _, d in out] == sorted(d for _, d in out)
+        plays.append(out)
+    assert plays[0] == plays[1]
+
+
+def test_a_lane_reorders_cuts_and_spares_the_handshake() -> None:
+    lane = Lane(Random(1), spared=1)
+    swap = Fault(reorder=1.0)
+    first, second = lane.passages(b"hello", 0.0, swap)[0], lane.passages(b"x", 0.0, swap)[0]
+    assert first.due == 0.0 and second.due > 0.0
+    lane = Lane(Random(1), spared=1)
+    assert lane.passages(b"hello", 0.0, Fault(loss=1.0)) and not lane.passages(b"x", 0.0, Fault(loss=1.0))
+    lane = Lane(Random(1))
+    assert [p.data for p in lane.passages(b"12345", 0.0, Fault(cut_at=7))] == [b"12345"]
+    cut = lane.passages(b"67890", 0.0, Fault(cut_at=7))[0]
+    assert cut.data == b"67" and cut.cut
+    assert not Lane(Random(1), spared=1).passages(b"hello", 0.0, Fault(drop=True))
+
+
+# Scenarios
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda p: p.stem)
+def test_every_scenario_reads_and_its_timeline_is_its_seed_s(path: Path) -> None:
+    scenario = read_scenario(str(path))
+    assert scenario.timeline(3) == scenario.timeline(3)
+    assert all(step.at <= scenario.seconds for step in scenario.timeline(3))
+    assert len(scenario.checks) >= 7
+    drawn = any(isinstance(row["at"], tuple) for row in scenario.faults)
+    assert not drawn or scenario.timeline(3) != scenario.timeline(4)
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ("instances = 0", "instances"),
+        ("instances = 2.5", "instances"),
+        ("instance = 3", "instance"),
+        ("relay_servers = 1", "relay_servers"),
+        ("[load]\nskew = [1, 2]", "load.skew"),
+        ('[load.numbers]\n"94" = 1', "load.numbers.94"),
+        ("[[load.burst]]\nat = 1\nfor = 2", "load.burst[0].for"),
+        ('[[fault]]\nkind = "earthquake"\nat = 1', "fault[0].kind"),
+        ('[[fault]]\nkind = "kill"\nwhom = "z"\nat = 1\nfor_s = 1', "fault[0].whom"),
+        ('[[fault]]\nkind = "kill"\nwhom = "a"\nat = [2, 1]\nfor_s = 1', "fault[0].at"),
+        ('[[fault]]\nkind = "kill"\nwhom = "a"\nat = 1', "fault[0].for_s"),
+        ('[[fault]]\nkind = "partition"\ngroups = "{a, b}"\nat = 1\nfor_s = 1', "fault[0].groups"),
+        ('[[fault]]\nkind = "partition"\ngroups = "{a} | {a}"\nat = 1\nfor_s = 1', "fault[0].groups"),
+        ('[[fault]]\nkind = "link"\nfrom = "a"\nto = "b"\nat = 1\nfor_s = 1', "fault[0]"),
+        ('[[fault]]\nkind = "link"\nfrom = "a"\nto = "b"\nloss = 2\nat = 1\nfor_s = 1', "fault[0].loss"),
+        ('[[fault]]\nkind = "kill_in_change"\nat = 1\nfor_s = 1', "change.every_s"),
+        ("[checks.no_such]", "checks.no_such"),
+        ("[checks.most_out]", "checks.most_out.most"),
+        ("[clock_rate]\na = 9", "clock_rate.a"),
+        ("relay_servers = true\n[checks.no_stale_arrival]", "checks.no_stale_arrival"),
+    ],
+)
+def test_a_faulty_scenario_names_its_key(text: str, key: str) -> None:
+    with pytest.raises(SettingsError) as caught:
+        make_scenario(tomllib.loads(text), "x")
+    assert f"setting {key} " in str(caught.value), caught.value
+
+
+def test_a_rolling_restart_takes_each_instance_in_turn() -> None:
+    scenario: Scenario = make_scenario(
+        tomllib.loads('seconds = 9\n[[fault]]\nkind = "rolling_restart"\nat = 1\ngap_s = 3'), "x"
+    )
+    steps = [(s.at, s.what, s.whom) for s in scenario.timeline(1)]
+    assert steps == [
+        (at, what, (name,)) for at, name in ((1, "a"), (4, "b"), (7, "c")) for what in ("stop", "start")
+    ]
+
+
+# The checker
+
+
+def at(mono: float, name: str, event: str, **fields: Any) -> Event:
+    return Event(mono, name, event, fields)
+
+
+GOOD = [
+    at(0.0, "a", "began"),
+    at(0.1, "rig", "process", what="serving", whom="a"),
+    at(0.2, "a", "role", role="leader", term=1, stopped=""),
+    at(1.0, "a", "adopted", revision=1),
+    at(1.1, "a", "left", revision=1, call="1"),
+    at(1.2, "rig", "lookup", instance="a", answers=1, rcode=0),
+    at(2.0, "rig", "acked", revision=2, note="n=2"),
+    at(2.0, "a", "adopted", revision=2),
+    at(2.1, "a", "left", revision=2, call="2"),
+    at(2.1, "rig", "arrived", server="s0", revision=2),
+    at(3.0, "rig", "out", machine="s0"),
+    at(4.0, "rig", "back", machine="s0"),
+    at(5.0, "a", "admitted", limit="x"),
+    at(9.0, "rig", "kept", revision=2, note="n=2"),
+]
+WANTED = {name: dict.fromkeys(check.arguments, 1.0) for name, check in CHECKS.items()}
+BAD = [
+    ("no_stale_act", at(2.5, "a", "left", revision=1, call="3")),
+    ("no_stale_arrival", at(2.5, "rig", "arrived", server="s0", revision=1)),
+    ("no_ack_lost", at(3.0, "rig", "acked", revision=3, note="n=3")),
+    ("no_ack_lost", at(9.0, "rig", "kept", revision=4, note="n=2")),
+    ("one_answer", at(3.0, "rig", "lookup", instance="a", answers=0, rcode=-1)),
+    ("one_answer", at(3.0, "rig", "lookup", instance="a", answers=2, rcode=0)),
+    ("one_leader_a_term", at(3.0, "b", "role", role="leader", term=1, stopped="")),
+    ("complete", at(3.0, "a", "left", revision=2, left_out=7)),
+    ("complete", at(3.0, "rig", "process", what="serving", whom="b")),
+    ("no_crash", at(3.0, "rig", "process", what="ended", whom="a", code=1)),
+    ("no_crash", at(3.0, "a", "role", role="follower", term=1, stopped="the disk failed")),
+    ("most_out", at(3.5, "rig", "out", machine="s1")),
+    ("admissions", [at(5.5 + n / 100, "b", "admitted", limit="x") for n in range(2)]),
+]
+
+
+def test_a_good_history_passes_every_check() -> None:
+    _, counts, told = run_checks(GOOD, WANTED)
+    assert set(counts) == set(CHECKS) and not any(counts.values()), told
+
+
+@pytest.mark.parametrize(("check", "more"), BAD, ids=[f"{c}-{n}" for n, (c, _) in enumerate(BAD)])
+def test_each_check_finds_its_rule_broken_and_shows_it(check: str, more: Event | list[Event]) -> None:
+    extra = more if isinstance(more, list) else [more]
+    events = sorted([*GOOD, *extra], key=lambda event: event.mono)
+    _, counts, told = run_checks(events, WANTED)
+    assert counts[check] >= 1
+    assert any(v.check == check and extra[-1] in v.stretch for v in told)
+    assert {name for name, count in counts.items() if count} == {check}
+
+
+def test_the_stretch_of_a_stale_act_is_the_adoption_the_acknowledgement_and_the_act() -> None:
+    act = at(2.5, "a", "left", revision=1, call="3")
+    later = at(2.3, "rig", "acked", revision=3, note="n=3")
+    events = sorted([*GOOD, act, later], key=lambda event: event.mono)
+    _, _, told = run_checks(events, {"no_stale_act": {}})
+    (violation,) = told
+    assert [e.event for e in violation.stretch] == ["adopted", "acked", "left"]
+    assert violation.stretch[1]["revision"] == 2, "the first acknowledgement that it is stale to"
+
+
+def test_a_look_up_at_an_instance_that_was_away_is_not_judged() -> None:
+    away = [
+        at(3.0, "rig", "process", what="kill", whom="a"),
+        at(3.5, "rig", "lookup", instance="a", answers=0, rcode=-1),
+        at(6.0, "rig", "process", what="serving", whom="a"),
+    ]
+    figures, counts, _ = run_checks([*GOOD[:10], *away], {"one_answer": {}})
+    assert counts["one_answer"] == 0 and figures["judged"] == 0 and figures["lookups"] == 2
+
+
+def test_a_recorder_s_lines_come_back_in_order_of_time(tmp_path: Path) -> None:
+    one, two = Recorder(tmp_path / "a.jsonl", "a"), Recorder(tmp_path / "b.jsonl", "b")
+    for n in range(100):
+        (one, two)[n % 2].note("left", mono=100.0 - n, revision=n)
+    one.close()
+    two.close()
+    with (tmp_path / "a.jsonl").open("ab") as file:
+        file.write(b'{"half a li')  # as of a process that was killed while it wrote
+    events = merge([tmp_path / "a.jsonl", tmp_path / "b.jsonl", tmp_path / "missing.jsonl"])
+    assert [e["revision"] for e in events] == list(range(99, -1, -1))
+    assert {e.name for e in events} == {"a", "b"}
--- /dev/null
+++ b/tests/test_fleet_rig.py
@@ -0,0 +1,290 @@
+"""The rig itself on real sockets and real processes: the relay, the keeper, and plays of real instances."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import tomllib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import anyio
+import orjson
+import pytest
+from anyio.abc import SocketStream
+
+from harepick.fleet import child
+from harepick.fleet.checks import run_checks
+from harepick.fleet.faults import Fault, Network
+from harepick.fleet.history import merge
+from harepick.fleet.play import Play, Report
+from harepick.fleet.ports import HOST
+from harepick.fleet.processes import ROOT, udp_owner
+from harepick.fleet.relay import Relay, RelayError, on_loopback, store_speaker
+from harepick.fleet.scenario import make_scenario
+from harepick.store.wire import LENGTH, Hello, frame
+from tests.peers import until
+
+HELLO = frame(Hello("peer", "c", "a", "f"))
+MESSAGE = LENGTH.pack(5) + b"12345"
+
+
+@asynccontextmanager
+async def echoing() -> AsyncIterator[tuple[Network, Relay, int]]:
+    """A relay, and the port of a server that gives back what it gets."""
+    network = Network()
+    relay = Relay(network, 1)
+
+    async def echo(stream: SocketStream) -> None:
+        async with stream:
+            with suppress(anyio.BrokenResourceError):
+                async for data in stream:
+                    await stream.send(data)
+
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(relay.run)
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        tasks.start_soon(listener.serve, echo)
+        yield network, relay, listener.extra(anyio.abc.SocketAttribute.local_port)
+        tasks.cancel_scope.cancel()
+
+
+def play_it(work: Callable[[], Awaitable[None]]) -> None:
+    async def bounded() -> None:
+        with anyio.fail_after(20):
+            await work()
+
+    anyio.run(bounded)
+
+
+async def heard(stream: SocketStream, count: int, within: float = 5.0) -> bytes:
+    data = b""
+    with anyio.move_on_after(within):
+        while len(data) < count:
+            data += await stream.receive()
+    return data
+
+
+def test_the_relay_knows_who_speaks_and_cuts_that_link_one_way() -> None:
+    async def work() -> None:
+        async with echoing() as (network, relay, to):
+            port = await relay.port("b", to, store_speaker)
+            async with await anyio.connect_tcp(HOST, port) as a:
+                await a.send(HELLO + MESSAGE)
+                assert await heard(a, len(HELLO + MESSAGE)) == HELLO + MESSAGE
+                network.set("b", "a", Fault(drop=True))
+                relay.changed()
+                await a.send(MESSAGE)
+                assert await heard(a, 1, 0.3) == b""
+                network.set("b", "a", Fault())
+                relay.changed()
+                await a.send(MESSAGE)
+                assert await heard(a, len(MESSAGE)) == MESSAGE, "frames come whole after a heal"
+
+    play_it(work)
+
+
+def test_the_end_of_a_connection_waits_as_long_as_its_link_is_cut() -> None:
+    async def work() -> None:
+        async with echoing() as (network, relay, to):
+            port = await relay.port("b", to, store_speaker)
+            a = await anyio.connect_tcp(HOST, port)
+            await a.send(HELLO)
+            await heard(a, len(HELLO))
+            network.partition([["a"], ["b"]])
+            relay.changed()
+            before = relay.figures.connections
+            await a.aclose()
+            await anyio.sleep(0.2)
+            async with await anyio.connect_tcp(HOST, port) as again:  # opens, and hears nothing
+                await again.send(HELLO)
+                assert await heard(again, 1, 0.2) == b""
+                network.heal()
+                relay.changed()
+            assert relay.figures.connections == before + 1
+
+    play_it(work)
+
+
+def test_a_slow_link_holds_up_nobody_else() -> None:
+    async def work() -> None:
+        async with echoing() as (network, relay, to):
+            slow, quick = await relay.port("b", to, "x"), await relay.port("b", to, "y")
+            network.set("x", "b", Fault(rate=1000.0))
+            async with await anyio.connect_tcp(HOST, slow) as x, await anyio.connect_tcp(HOST, quick) as y:
+                with anyio.move_on_after(1.0) as scope:  # far more than may wait: its speaker is held up
+                    await x.send(frame(b"z" * 3_000_000) * 4)
+                assert scope.cancelled_caught
+                times = []
+                for _ in range(50):
+                    began = time.monotonic()
+                    await y.send(MESSAGE)
+                    assert await heard(y, len(MESSAGE)) == MESSAGE
+                    times.append(time.monotonic() - began)
+                assert sorted(times)[25] < 0.2
+
+    play_it(work)
+
+
+def test_a_connection_breaks_at_its_byte_and_a_stranger_s_is_closed() -> None:
+    async def work() -> None:
+        async with echoing() as (network, relay, to):
+            port = await relay.port("b", to, store_speaker)
+            network.set("a", "b", Fault(cut_at=len(HELLO) + 3))
+            async with await anyio.connect_tcp(HOST, port) as a:
+                await a.send(HELLO + MESSAGE)
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                    while True:
+                        await a.receive()
+            assert relay.figures.cuts == 1
+            async with await anyio.connect_tcp(HOST, port) as stranger:
+                await stranger.send(LENGTH.pack(3) + b"abc")
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                    await stranger.receive()
+
+    play_it(work)
+
+
+def test_datagrams_go_through_and_back_to_their_own_source() -> None:
+    async def work() -> None:
+        async with echoing() as (network, relay, _):
+            server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            server.bind((HOST, 0))
+            server.settimeout(5)
+            names: dict[int, str] = {}
+            port = await relay.datagrams("s0", server.getsockname(), lambda p: names.get(p, "?"))
+            clients = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(2)]
+            for name, client in zip("ab", clients, strict=True):
+                client.bind((HOST, 0))
+                client.settimeout(5)
+                names[client.getsockname()[1]] = name
+            network.set("b", "s0", Fault(drop=True))
+            for client in clients:
+                client.sendto(client.getsockname()[1].to_bytes(2, "big"), (HOST, port))
+            data, peer = await anyio.to_thread.run_sync(lambda: server.recvfrom(100))
+            assert int.from_bytes(data, "big") == clients[0].getsockname()[1], "b's was to be dropped"
+            server.sendto(b"answer", peer)
+            assert await anyio.to_thread.run_sync(lambda: clients[0].recv(100)) == b"answer"
+            assert udp_owner(clients[0].getsockname()[1], {"me": os.getpid()}) == "me"
+            for sock in (server, *clients):
+                sock.close()
+
+    play_it(work)
+
+
+def test_the_relay_stays_on_loopback() -> None:
+    with pytest.raises(RelayError, match="loopback"):
+        on_loopback("192.0.2.1")
+
+
+def gone(number: int) -> bool:
+    try:
+        state = Path(f"/proc/{number}/stat").read_text().rsplit(")", 1)[1].split()[0]
+    except OSError:
+        return True
+    return state == "Z"
+
+
+def test_a_killed_rig_leaves_no_process_behind(tmp_path: Path) -> None:
+    """The rig is a process of its own here, killed while its instances run, one of them stopped."""
+    path = tmp_path / "long.toml"
+    path.write_text('seconds = 60\n[[fault]]\nkind = "pause"\nwhom = "b"\nat = 0.2\nfor_s = 50\n')
+    folder = tmp_path / "play"
+    words = [sys.executable, "-m", "harepick.cli.main", "fleet", "play", str(path), "--keep", str(folder)]
+    rig = subprocess.Popen(words, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    history = folder / "rig.jsonl"
+
+    def paused() -> bool:
+        return history.exists() and b'"what":"pause"' in history.read_bytes()
+
+    until(paused, 40.0, "the pause")
+    ids = [
+        orjson.loads(line)["process"]
+        for name in "abc"
+        for line in (folder / f"{name}.jsonl").read_bytes().splitlines()
+        if b'"began"' in line
+    ]
+    assert len(ids) == 3 and not any(gone(number) for number in ids)
+    rig.send_signal(signal.SIGKILL)
+    rig.wait()
+    until(lambda: all(gone(number) for number in ids), 15.0, f"the end of {ids}")
+
+
+def test_a_faulty_scenario_starts_nothing_and_names_its_key(tmp_path: Path) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text('[[fault]]\nkind = "kill"\nwhom = "nobody"\nat = 1\nfor_s = 1\n')
+    words = [sys.executable, "-m", "harepick.cli.main", "fleet", "play", str(path)]
+    done = subprocess.run(
+        [*words, "--keep", str(tmp_path / "play")], cwd=ROOT, capture_output=True, text=True
+    )
+    assert done.returncode == 2 and "fault[0].whom" in done.stderr
+    assert not (tmp_path / "play").exists()
+
+
+CUT = """
+instances = 3
+servers = 2
+lease_ms = 600
+seconds = 6.0
+[load]
+rate = 90.0
+[change]
+every_s = 0.15
+[[fault]]
+kind = "link"
+from = "*"
+to = "c"
+drop = true
+at = 1.0
+for_s = 3.0
+[checks]
+no_stale_act = {}
+no_stale_arrival = {}
+no_ack_lost = {}
+one_answer = {}
+one_leader_a_term = {}
+complete = {}
+no_crash = {}
+"""
+
+
+def play(folder: Path, text: str, seed: int = 1) -> Report:
+    scenario = make_scenario(tomllib.loads(text), "test")
+    return anyio.run(Play(scenario, seed, folder).run)
+
+
+def fails(report: Report) -> dict[str, Any]:
+    return {name: count for name, count in report.violations.items() if count}
+
+
+@pytest.mark.alone
+def test_three_instances_one_cut_off_one_way_and_healed(tmp_path: Path) -> None:
+    report = play(tmp_path, CUT)
+    line = report.line()
+    assert report.ok, (line, [(v.why, [e.told(report.start) for e in v.stretch]) for v in report.told])
+    assert line["changes_acked"] >= 5 and line["arrived"] > 50 and line["relay_dropped"] > 0
+    assert line["refused"] > 20, "the one that was cut off refused nothing: the cut was none"
+    assert not fails(report) and line["arrived"] == line["left"]
+    # The histories alone tell the same.
+    _, counts, _ = run_checks(
+        merge(sorted(tmp_path.glob("*.jsonl"))), {name: {} for name in report.violations}
+    )
+    assert not any(counts.values())
+
+
+@pytest.mark.alone
+def test_its_twin_with_the_lease_ignored_is_found_out(tmp_path: Path) -> None:
+    assert "stale-lease" in child.DOUBLES
+    report = play(tmp_path, CUT + '\n[double]\nc = "stale-lease"\n')
+    assert not report.ok and not report.error
+    found = fails(report)
+    assert found.keys() == {"no_stale_act", "no_stale_arrival"}, found
+    violation = next(v for v in report.told if v.check == "no_stale_act")
+    assert [e.event for e in violation.stretch] == ["adopted", "acked", "left"]
+    assert violation.stretch[-1].name == "c"
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -14,6 +14,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 
+from harepick.fleet.ports import free_port
 from harepick.net import binary, sip
 from tests import peers
 from tests.test_platform import stand
@@ -90,7 +91,7 @@
         peers.until(lambda: first.ready(place.ops), why="the first ready")
         old = peers.Caller(place.port)
         standing, server = stand(place, old)
-        second_ops = peers.free_port()
+        second_ops = free_port()
         with place.run(GW_OPS=f"127.0.0.1:{second_ops}") as second:  # the same address to listen on
             peers.until(lambda: second.ready(second_ops), why="the second ready")
             stream = ThreadPoolExecutor(1).submit(answered_until, place.port, time.monotonic() + 1.6)
--- a/tests/test_store_daemons.py
+++ b/tests/test_store_daemons.py
@@ -16,12 +16,13 @@
 import pytest
 
 from benchmarks.daemons import HOST, Asker, Daemon, Upstreams, cluster, config_text
+from harepick.fleet.ports import free_port
 from harepick.settings import address
 from harepick.store import wire
 from harepick.store.client import StoreClient, StoreError
 from harepick.store.wire import Hello, Welcome
 from tests.dnspeers import Client, Upstream
-from tests.peers import free_port, until
+from tests.peers import until
 
 
 @pytest.fixture
@@ -519,6 +520,9 @@
     for name in (
         "harepick.store",
         "harepick.cli",
+        "harepick.fleet",
+        "harepick.gapping",
+        "matplotlib",
         "msgspec",
         "zstandard",
         "click",
