--- a/harepick/cli/common.py
+++ b/harepick/cli/common.py
@@ -41,6 +41,8 @@
     "unavailable": "'harepick store status' tells what is wrong",
     "invalid": "nothing was changed; mend the key and check with 'harepick config check FILE'",
     "no_revision": "'harepick config history' lists those that are kept",
+    "no_machine": "'harepick config get' has the servers, 'harepick store members' the controllers",
+    "refused": "nothing was changed; 'harepick maint list' or 'harepick config history' tell what stands",
     "turned_away": "is store.cluster the same in your operator's file?",
 }
 
--- a/harepick/cli/main.py
+++ b/harepick/cli/main.py
@@ -13,6 +13,7 @@
     "config": ("harepick.cli.config", "config", "Read and change the store's configuration."),
     "fleet": ("harepick.cli.fleet", "fleet", "Play scenarios of faults on a fleet of instances."),
     "gap": ("harepick.cli.gap", "gap", "Look at the gaps that a configuration file sets."),
+    "maint": ("harepick.cli.maint", "maint", "Take machines out for work, and bring them back."),
     "run": ("harepick.cli.run", "run", "Run one instance."),
     "store": ("harepick.cli.store", "store", "Set up and look after the replicated store."),
 }
--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -74,7 +74,9 @@
         # on before that would never end, and would stay open in its view of that server.
         self._leaving: list[Entry] = []
         self._controller = Controller(settings, seed, clock())
-        self.unavailable = 0  # listed servers that the module avoids, as of the last batch
+        self.avoided: frozenset[str] = (
+            frozenset()
+        )  # listed servers that the module avoids, as of the last batch
         self._closing = False
 
     @property
@@ -95,6 +97,10 @@
         """Servers in the list that are not gone."""
         return len(self._listed)
 
+    @property
+    def unavailable(self) -> int:
+        return len(self.avoided)
+
     @property
     def owing(self) -> int:
         """Calls that still wait for their final answer."""
@@ -136,7 +142,7 @@
             self._ledger.close(entry)
         self._leaving.clear()
         # Published for the `ops` listener, which must not reach into the module that this task owns.
-        self.unavailable = len(self._controller.avoided() & self._listed.keys())
+        self.avoided = frozenset(self._controller.avoided() & self._listed.keys())
 
     def give_up(self) -> None:
         """The end of a drain: fails what is unanswered, and from now on refuses what comes at once.
--- a/harepick/enumdns/service.py
+++ b/harepick/enumdns/service.py
@@ -134,6 +134,16 @@
             self._log.event("gaps", **told, now=len(screen))
         return None
 
+    @property
+    def idle(self) -> bool:
+        """No look-up is under way."""
+        return all(generation.engine.idle for generation in self._generations)
+
+    @property
+    def avoided(self) -> frozenset[str]:
+        """Servers that fresh look-ups avoid now, as the latest core sees them."""
+        return self._generations[-1].engine.avoided if self._generations else frozenset()
+
     def reload(self) -> None:
         """Reads the file again; a faulty one changes nothing."""
         if self._path is None:
@@ -258,5 +268,5 @@
 
 
 def _core(config: Enum) -> Enum:
-    """What a new generation is begun for: all but upstreams, routes and gaps."""
-    return replace(config, upstreams=(), routes=(), gaps=())
+    """What a new generation is begun for: all but upstreams, routes, gaps and the plan of maintenance."""
+    return replace(config, upstreams=(), routes=(), gaps=(), maintenance=None)
--- a/harepick/fleet/checks.py
+++ b/harepick/fleet/checks.py
@@ -205,21 +205,85 @@
     return finding
 
 
+def _orders(events: Iterable[Event]) -> list[Event]:
+    """Every state that an order came to, where it was first applied, in the order of the log."""
+    first: dict[tuple[int, str], Event] = {}
+    for event in _of(events, "order"):
+        first.setdefault((event["order"], event["state"]), event)
+    return sorted(first.values(), key=lambda event: int(event["version"]))
+
+
 def most_out(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
-    """Never more than `most` machines are out for work at once (`out` and `back`, by `machine`)."""
+    """Never more than `servers` servers, and `controllers` controllers, are leaving or out for work at
+    once, at any version of the orders; and all instances tell the same orders."""
     finding = Finding()
-    out: dict[str, Event] = {}
-    highest = 0
-    for event in _of(events, "out", "back"):
-        if event.event == "back":
-            out.pop(event["machine"], None)
+    out: dict[str, dict[str, Event]] = {"server": {}, "controller": {}}
+    highest = dict.fromkeys(out, 0)
+    for event in _orders(events):
+        kind = event["machine"].partition(":")[0]
+        if event["state"] in ("back", "cancelled"):
+            out[kind].pop(event["machine"], None)
+        elif event["state"] in ("leaving", "out"):
+            out[kind].setdefault(event["machine"], event)
+        highest[kind] = max(highest[kind], len(out[kind]))
+        if len(out[kind]) > arguments[f"{kind}s"]:
+            names = ", ".join(out[kind])
+            why = f"{len(out[kind])} {kind}s out at once, {arguments[f'{kind}s']:g} may be: {names}"
+            finding.against("most_out", why, *out[kind].values())
+    told: dict[int, Event] = {}
+    for event in _of(events, "order"):
+        other = told.setdefault(event["version"], event)
+        if (other["order"], other["state"]) != (event["order"], event["state"]):
+            why = f"{other.name} and {event.name} tell version {event['version']} of the orders differently"
+            finding.against("most_out", why, other, event)
+    finding.figures = {
+        "most_out_at_once": highest["server"],
+        "most_controllers_out_at_once": highest["controller"],
+    }
+    return finding
+
+
+def no_fresh_to_out(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """From when the first instance is told that a server is out until the first is told that it is back,
+    nothing leaves any instance for it, nothing arrives there, and nothing at all leaves under orders from
+    before it was leaving."""
+    finding = Finding()
+    rows = _orders(events)
+    spans: dict[str, list[tuple[float, float, int, Event]]] = defaultdict(list)
+    took: list[float] = []
+    for event in rows:
+        if event["state"] != "out":
+            continue
+        of = {other["state"]: other for other in rows if other["order"] == event["order"]}
+        end = of.get("back") or of.get("cancelled")
+        until = end.mono if end else float("inf")
+        spans[event["machine"]].append((event.mono, until, of["leaving"]["version"], event))
+        took.append((event.mono - of["leaving"].mono) * 1000)
+    fresh = stale = 0
+    for event in _of(events, "left", "arrived"):
+        server = str(event["server"]).partition("@")[0]
+        for since, until, _, out in spans.get(f"server:{server}", ()):
+            if since < event.mono < until:
+                fresh += 1
+                late = (event.mono - since) * 1000
+                why = f"{event.event} for {server} {late:.1f} ms after it was out"
+                finding.against("no_fresh_to_out", why, out, event)
+        if event.event != "left" or "orders" not in event.fields:
             continue
-        out.setdefault(event["machine"], event)
-        highest = max(highest, len(out))
-        if len(out) > arguments["most"]:
-            why = f"{len(out)} machines out at once, {arguments['most']:g} may be: {', '.join(out)}"
-            finding.against("most_out", why, *out.values())
-    finding.figures = {"most_out_at_once": highest}
+        for ends in spans.values():
+            for since, until, version, out in ends:
+                if since < event.mono < until and event["orders"] < version:
+                    stale += 1
+                    why = f"{event.name} acted on version {event['orders']} of the orders"
+                    finding.against("no_fresh_to_out", f"{why}, {version} was confirmed", out, event)
+    took.sort()
+    finding.figures = {
+        "fresh_calls_to_out_servers": fresh,
+        "stale_orders": stale,
+        "orders_out": len(took),
+        "time_to_out_ms_p50": round(took[len(took) // 2], 1) if took else 0.0,
+        "time_to_out_ms_p99": round(took[min(len(took) - 1, int(0.99 * len(took)))], 1) if took else 0.0,
+    }
     return finding
 
 
@@ -254,7 +318,8 @@
     "one_leader_a_term": Check(one_leader_a_term),
     "complete": Check(complete),
     "no_crash": Check(no_crash),
-    "most_out": Check(most_out, ("most",)),
+    "most_out": Check(most_out, ("servers", "controllers")),
+    "no_fresh_to_out": Check(no_fresh_to_out),
     "admissions": Check(admissions, ("per_s", "window_s", "epsilon")),
 }
 
--- a/harepick/fleet/child.py
+++ b/harepick/fleet/child.py
@@ -30,7 +30,23 @@
     Lease.holds = lambda self, now: True  # type: ignore[method-assign]
 
 
-DOUBLES: dict[str, Callable[[], None]] = {"stale-lease": _stale_lease}
+def _skip_confirmation() -> None:
+    """Breaks: a machine is out only once every instance that may act has confirmed it."""
+    from harepick.store.replica import Replica
+
+    true = Replica.leases
+
+    def leases(self: Replica) -> tuple[frozenset[str], Callable[[int], list[str]]] | None:
+        found = true(self)
+        return (found[0], lambda index: []) if found else None
+
+    Replica.leases = leases  # type: ignore[method-assign]
+
+
+DOUBLES: dict[str, Callable[[], None]] = {
+    "stale-lease": _stale_lease,
+    "skip-confirmation": _skip_confirmation,
+}
 
 
 def main() -> int:
--- /dev/null
+++ b/harepick/fleet/maintenance/desk.py
@@ -0,0 +1,112 @@
+"""What operators ask of the orders, as methods of the tools' port (`docs/protocol/operators.md`)."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from harepick.fleet.maintenance.orders import (
+    CONTROLLER,
+    SERVER,
+    AskOut,
+    Finish,
+    OrderCommand,
+    Withdraw,
+)
+from harepick.fleet.maintenance.steward import Steward
+from harepick.store.machine import Envelope, Ordered, Refused
+from harepick.store.operators import BadRequestError, OutcomeError, argument_number, argument_text
+from harepick.store.raft.core import NotLeaderError
+from harepick.store.replica import Replica
+
+MOST_PRIORITY = 100
+
+Answer = Callable[[dict[str, Any], float], Awaitable[Any]]
+
+
+def machine(text: str) -> tuple[str, str]:
+    """Kind and name of `server:NAME`, `controller:NAME`, or a server's `NAME`; raises `BadRequestError`."""
+    kind, colon, name = text.partition(":")
+    if not colon:
+        kind, name = SERVER, text
+    if kind not in (SERVER, CONTROLLER) or not name:
+        raise BadRequestError(f"argument machine is no server:NAME or controller:NAME: {text!r}")
+    return kind, name
+
+
+class Desk:
+    """`methods` go beside those of the store."""
+
+    def __init__(self, replica: Replica, steward: Steward, servers: Callable[[], frozenset[str]]) -> None:
+        """`servers`: names of all servers of the configuration, draining ones too."""
+        self._replica, self._steward, self._servers = replica, steward, servers
+        self.methods: dict[str, Answer] = {
+            "maint_request": self.request,
+            "maint_cancel": self.cancel,
+            "maint_done": self.done,
+            "maint_list": self.list,
+        }
+
+    async def request(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
+        kind, name = machine(argument_text(arguments, "machine"))
+        await self._replica.read(wait)
+        known = self._servers() if kind == SERVER else frozenset(self._replica.node.raft.membership.voters)
+        if name not in known:
+            raise OutcomeError("no_machine", f"no {kind} {name!r}; there are {', '.join(sorted(known))}")
+        priority = arguments.get("priority", 0)
+        if isinstance(priority, bool) or not isinstance(priority, int) or abs(priority) > MOST_PRIORITY:
+            raise BadRequestError(f"argument priority is not from -100 to 100: {priority!r}")
+        opens, closes = self._time(arguments, "opens", 0.0), self._time(arguments, "closes", float("inf"))
+        if not opens < closes:
+            raise BadRequestError("argument closes is not after opens")
+        body = AskOut(
+            kind,
+            name,
+            argument_text(arguments, "reason", ""),
+            argument_text(arguments, "by", ""),
+            priority,
+            opens,
+            closes,
+            time.time(),
+        )
+        return await self._change(arguments, body, wait)
+
+    async def cancel(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
+        body = Withdraw(argument_number(arguments, "order"), argument_text(arguments, "by", ""), time.time())
+        return await self._change(arguments, body, wait)
+
+    async def done(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
+        body = Finish(argument_number(arguments, "order"), argument_text(arguments, "by", ""), time.time())
+        return await self._change(arguments, body, wait)
+
+    async def list(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
+        """From the leader, which knows why each order waits; with `stale`, from whoever is asked."""
+        if not arguments.get("stale"):
+            await self._replica.read(wait)
+            if self._replica.leases() is None and self._replica.node.raft.leader != self._me:
+                raise NotLeaderError(self._replica.node.raft.leader)
+        return self._steward.status()
+
+    @property
+    def _me(self) -> str:
+        return self._replica.settings.replica
+
+    @staticmethod
+    def _time(arguments: dict[str, Any], name: str, default: float) -> float:
+        value = arguments.get(name)
+        if value is None:
+            return default
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise BadRequestError(f"argument {name} is no Unix time: {value!r}")
+        return float(value)
+
+    async def _change(self, arguments: dict[str, Any], body: OrderCommand, wait: float) -> dict[str, Any]:
+        session, number = argument_text(arguments, "session", ""), argument_number(arguments, "number", 0)
+        answer = await self._replica.change(Envelope(session, number, body), wait)
+        match answer:
+            case Ordered(order, state, version, _):
+                return {"order": order, "state": state, "version": version}
+            case Refused(text):
+                raise OutcomeError("refused", text)
+        raise OutcomeError("lost", "the leader has gone; whether it took effect is not known: ask again")
--- /dev/null
+++ b/harepick/fleet/maintenance/steward.py
@@ -0,0 +1,158 @@
+"""The steward of one instance: while it leads it proposes the rule's moves; always, it does its own part.
+
+Its own part: to tell once it has no calls left when it was asked out, and to hand leadership over first. All
+that it proposes is guarded (`orders.py`), so that a steward that is behind changes nothing.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import anyio
+
+from harepick.counters import Counters
+from harepick.fleet.maintenance.orders import CONTROLLER, Idle, Move, Order, Orders
+from harepick.fleet.maintenance.rule import Plan, Sight, decide, why
+from harepick.log import Log
+from harepick.store.machine import Envelope, Ordered
+from harepick.store.raft.core import BusyError, NotLeaderError
+from harepick.store.replica import Replica, StoreUnavailableError
+
+EVERY = 0.1  # seconds between two looks, if nothing wakes it
+REST = 0.02  # between two looks in any case
+WITHIN = 5.0  # for one move to be committed
+HAND_OVER = 3.0  # for another to lead
+
+
+@dataclass(frozen=True, slots=True)
+class Facts:
+    """What the front knows, at one moment."""
+
+    plan: Plan
+    revision: int
+    servers: frozenset[str]  # ready in the configuration, by name
+    failed: frozenset[str]  # avoided now, by name
+    idle: bool  # no calls under way here
+
+
+class Steward:
+    def __init__(
+        self, replica: Replica, facts: Callable[[], Facts | None], counters: Counters, log: Log
+    ) -> None:
+        """`facts` gives None as long as there is no configuration."""
+        self._replica, self._facts = replica, facts
+        self._counters, self._log = counters, log
+        self._me = replica.settings.replica
+
+    @property
+    def orders(self) -> Orders:
+        return self._replica.node.machine.orders
+
+    def sight(self) -> Sight | None:
+        """What the rule may be evaluated on; None while this instance can't know it."""
+        facts, leases = self._facts(), self._replica.leases()
+        if facts is None or leases is None:
+            return None
+        live, waits = leases
+        voters = self._replica.node.raft.membership.voters
+        return Sight(
+            name=self._me,
+            now=time.time(),
+            revision=facts.revision,
+            servers=facts.servers,
+            failed=facts.failed & facts.servers,
+            controllers=voters,
+            live=live & frozenset(voters),
+            waits=waits,
+        )
+
+    async def run(self) -> None:
+        """Until cancelled."""
+        while True:
+            try:
+                await self._own_part()
+                await self._turn()
+            except (NotLeaderError, BusyError, StoreUnavailableError):
+                self._counters.add("maint.not_proposed")  # another leads, or comes to: it looks for itself
+            await anyio.sleep(REST)
+            await self._replica.changed(EVERY)
+
+    async def _turn(self) -> None:
+        sight, facts = self.sight(), self._facts()
+        if sight is None or facts is None:
+            return
+        step = decide(self.orders, facts.plan, sight)
+        if step is None:
+            return
+        answer = await self._replica.change(Envelope("", 0, step), WITHIN)
+        if not isinstance(answer, Ordered):
+            self._counters.add("maint.moves_refused")
+            self._log.event("maint_refused", why=str(answer))
+            return
+        self._counters.add("maint.moves")
+        if isinstance(step, Move):
+            order = self.orders.get(step.order)
+            machine = order.key if order else ""
+            self._log.event("maint_move", order=step.order, machine=machine, to=step.to, gone=step.gone)
+        else:
+            self._log.event("maint_seat", controller=step.instance, state=step.state)
+
+    async def _own_part(self) -> None:
+        order = self.orders.of(CONTROLLER, self._me)
+        if order is None or order.state == "waiting":
+            return
+        facts = self._facts()
+        if order.state == "leaving" and not order.idle and facts and facts.idle:
+            self._replica.suggest(Envelope("", 0, Idle(order.id, self._me)))
+        if leases := self._replica.leases():  # it leads
+            live, _ = leases
+            heirs = sorted(live - self.orders.barred(CONTROLLER) - {self._me})
+            if heirs:
+                self._log.event("maint_hand_over", to=heirs[0], order=order.id)
+                await self._replica.transfer(heirs[0], HAND_OVER)
+
+    # What can be seen
+
+    def told(self, order: Order, sight: Sight | None) -> dict[str, Any]:
+        """An order for a reader; `why` only where this instance leads and can tell."""
+        facts = self._facts()
+        held = why(order, self.orders, facts.plan, sight) if sight and facts else None
+        return {
+            "order": order.id,
+            "machine": order.key,
+            "state": order.state,
+            "reason": order.reason,
+            "by": order.by,
+            "priority": order.priority,
+            "opens": order.opens or None,
+            "closes": None if order.closes == float("inf") else order.closes,
+            "why": held,
+            "gone": list(order.gone),
+            "steps": [{"state": state, "at": at} for state, at in order.steps],
+        }
+
+    def status(self) -> dict[str, Any]:
+        """The queue and who is out, as last applied here; `current` tells whether that may be old."""
+        sight, orders = self.sight(), self.orders
+        seats = dict(orders.seats)
+        for order in orders.open:
+            if order.kind == CONTROLLER and order.state != "waiting":
+                seats[order.machine] = "draining" if order.state == "leaving" else "out"
+        return {
+            "instance": self._me,
+            "current": self._replica.may_act(),
+            "leader": self._replica.node.raft.leader,
+            "version": orders.version,
+            "controllers": seats,
+            "orders": [self.told(order, sight) for order in orders.open],
+            "ended": [self.told(order, None) for order in orders.ended[-20:]],
+        }
+
+
+def with_barred(config: Any, barred: frozenset[str]) -> Any:
+    """The configuration as it is acted on: servers that are leaving or out drain."""
+    upstreams = tuple(replace(u, draining=True) if u.name in barred else u for u in config.upstreams)
+    return replace(config, upstreams=upstreams)
--- a/harepick/fleet/play.py
+++ b/harepick/fleet/play.py
@@ -11,7 +11,7 @@
 import secrets
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -36,6 +36,7 @@
 UP = 30.0  # seconds for the fleet to serve, at the start and again at the end
 SETTLE = 2.0  # seconds that all run on together at the end
 IN_CHANGE = 0.015  # seconds after a change was begun within which its leader is killed
+BESIDE = 90.0  # seconds for what runs beside a play to end once there is no fault any more
 CHANGE = 50.0  # seconds that one try of a change may take
 FINAL = ("invalid", "bad_request", "conflict", "refused")  # a change answered so has not taken effect
 
@@ -80,11 +81,15 @@
         folder: Path,
         seconds: float | None = None,
         say: Callable[[str], None] = lambda text: None,
+        beside: Callable[[Play], Coroutine[Any, Any, None]] | None = None,
     ) -> None:
+        """`beside` is what a benchmark or test does with the fleet besides: begun when it serves, and waited
+        for once the faults are over."""
         self.scenario, self.seed, self.folder = scenario, seed, folder
         self.seconds = scenario.seconds if seconds is None else seconds
         self.timeline = scenario.timeline(seed, self.seconds)
         self._say = say
+        self._beside = beside
         self._rng = Random(seed + 1)
         self.network = Network()
         self.relay = Relay(self.network, seed)
@@ -148,12 +153,18 @@
         stop = anyio.Event()
         changed = anyio.Event()
         tasks.start_soon(self._change, stop, changed)
+        finished = anyio.Event()
+        tasks.start_soon(self._run_beside, finished)
         for step in self.timeline:
             await anyio.sleep(max(0.0, self._start + step.at - time.monotonic()))
             self._do(step)
         await anyio.sleep(max(0.0, self._start + self.seconds - time.monotonic()))
         await self._mend()
         await anyio.sleep(SETTLE)
+        with anyio.move_on_after(BESIDE):
+            await finished.wait()
+        if not finished.is_set():
+            raise RigError(f"what runs beside the play did not come to its end in {BESIDE:g} s")
         stop.set()
         with anyio.move_on_after(CHANGE):
             await changed.wait()
@@ -167,6 +178,11 @@
             self._note("stop", instance)
             await instance.kill(self.keeper, signal.SIGTERM)
 
+    async def _run_beside(self, finished: anyio.Event) -> None:
+        if self._beside:
+            await self._beside(self)
+        finished.set()
+
     async def _set_up(self) -> None:
         """Ports, relays and files."""
         scenario = self.scenario
@@ -273,10 +289,11 @@
                 self._in_change.append(step)
             case _:
                 for name in self._whom(step):
-                    self._tasks.start_soon(self._strike, step.what, self.instances[name])
+                    self._tasks.start_soon(self.strike, step.what, self.instances[name])
         self.relay.changed()
 
-    async def _strike(self, what: str, instance: Instance) -> None:
+    async def strike(self, what: str, instance: Instance) -> None:
+        """Does that to an instance, after what is being done to it already."""
         async with self._locks[instance.name]:
             running = instance.state
             match what:
@@ -347,13 +364,17 @@
 
     # The configuration
 
+    def client(self) -> StoreClient:
+        """A tool of the store's, for one task."""
+        addresses = [address(f"{HOST}:{i.store_port}", "at") for i in self.instances.values()]
+        return StoreClient(self.cluster, addresses)
+
     async def _change(self, stop: anyio.Event, done: anyio.Event) -> None:
         """Changes it, one change after another, until `stop`."""
         if not self.scenario.change_every:
             done.set()
             return
-        addresses = [address(f"{HOST}:{i.store_port}", "at") for i in self.instances.values()]
-        async with StoreClient(self.cluster, addresses) as client:
+        async with self.client() as client:
             while not stop.is_set():
                 with anyio.move_on_after(self.scenario.change_every * self._rng.uniform(0.5, 1.5)):
                     await stop.wait()
@@ -383,13 +404,12 @@
     async def _kill_in_change(self, step: Step) -> None:
         await anyio.sleep(self._rng.uniform(0.0, IN_CHANGE))
         for name in self._whom(step):
-            await self._strike("kill", self.instances[name])
+            await self.strike("kill", self.instances[name])
 
     async def _tell_kept(self) -> None:
         """What the store itself says of its history, read through its leader."""
-        addresses = [address(f"{HOST}:{i.store_port}", "at") for i in self.instances.values()]
         try:
-            async with StoreClient(self.cluster, addresses) as client:
+            async with self.client() as client:
                 rows = await client.call("history", {"most": 500}, 20.0)
         except StoreError as error:
             raise RigError(f"the store does not tell its history: {error}") from None
--- a/harepick/settings.py
+++ b/harepick/settings.py
@@ -90,6 +90,7 @@
     settings: i.Settings
     routes: tuple[Route, ...] = ()
     gaps: tuple[Any, ...] = ()  # `harepick.gapping.config.Row`s of `[[gap]]`
+    maintenance: Any = None  # `harepick.fleet.maintenance.rule.Plan`; None: the defaults of one
 
 
 def _number(table: Mapping[str, Any], path: str, low: float, default: float | None = None) -> float:
@@ -314,6 +315,8 @@
     """The ENUM front as a TOML file sets it up; raises `SettingsError` naming the faulty key."""
     table = read_toml(path)
     table.pop("store", None)  # `harepick.store.settings` reads it, where it is installed
+    if "maintenance" in table:
+        raise SettingsError("setting maintenance belongs in the store's configuration")
     return read_enum(table)
 
 
@@ -343,7 +346,7 @@
 def read_enum(table: Mapping[str, Any]) -> Enum:
     """The ENUM front as a table sets it up; raises `SettingsError` naming the faulty key."""
     for section, value in table.items():
-        if section == "gap":  # its reader names the keys it knows
+        if section in ("gap", "maintenance"):  # their readers name the keys they know
             continue
         if section not in KNOWN_KEYS:
             raise SettingsError(f"setting {section} is not known")
@@ -398,9 +401,19 @@
         settings=settings,
         routes=_routes(table.get("route", []), {u.name for u in upstreams}),
         gaps=_gaps(table.get("gap"), "gap", "e164"),
+        maintenance=_maintenance(table.get("maintenance"), {u.name for u in upstreams}),
     )
 
 
+def _maintenance(table: Any, servers: set[str]) -> Any:
+    """What may be out for work at once; nothing of its reader is loaded without it."""
+    if table is None:
+        return None
+    from harepick.fleet.maintenance.settings import read_maintenance
+
+    return read_maintenance(table, servers)
+
+
 def _suffix(text: str) -> str:
     labels = text.rstrip(".").split(".")
     if len(text) > 200 or not all(LABEL.match(label) for label in labels):
--- a/harepick/store/attach.py
+++ b/harepick/store/attach.py
@@ -21,9 +21,14 @@
 from harepick.core.words import Attempt
 from harepick.counters import Counters
 from harepick.directory import Row
-from harepick.enumdns.service import EnumFront, ready_servers
+from harepick.enumdns.service import EnumFront, ready_servers, server_name
+from harepick.fleet.maintenance import Orders
+from harepick.fleet.maintenance.desk import Desk
+from harepick.fleet.maintenance.orders import CONTROLLER, SERVER
+from harepick.fleet.maintenance.rule import Plan
+from harepick.fleet.maintenance.steward import Facts, Steward, with_barred
 from harepick.log import Log
-from harepick.settings import OWN_KEYS, SettingsError, address, read_shared, read_toml
+from harepick.settings import OWN_KEYS, Enum, SettingsError, address, read_shared, read_toml
 from harepick.store.disk.files import StorageError
 from harepick.store.machine import Conflict, Done, Envelope, Put, Revision, View, ViewRow
 from harepick.store.operators import Operators
@@ -56,10 +61,15 @@
         self._counters, self._log = counters, log
         self._allowed: frozenset[str] = frozenset()
         self._revision = 0
+        self._config: Enum | None = None  # of that revision
+        self._barred: frozenset[str] = frozenset()  # servers that are leaving or out for work, by name
+        self._away = False  # this instance itself is
+        self._orders = 0  # version of the orders that is followed
         self._remembered = False
         nothing = replace(read_shared(NOTHING, self._own), upstreams=())
         self.front = EnumFront(nothing, counters, log, gate=self)
-        self.replica = Replica(settings, counters, log, self._adopt)
+        self.replica = Replica(settings, counters, log, self._adopt, self._follow)
+        self.steward = Steward(self.replica, self._facts, counters, log)
         try:
             self.replica.open()
         except StorageError as error:
@@ -73,7 +83,7 @@
     # The gate
 
     def shut(self) -> float | None:
-        if self._revision and self.replica.may_act():
+        if self._revision and self.replica.may_act() and not self._away:
             return None
         return self.replica.come_back()
 
@@ -90,31 +100,76 @@
                 call=attempt.call,
                 server=attempt.server,
                 revision=self._revision,
+                orders=self._orders,
                 lease_left=self.replica.lease_left(),
             )
 
     def _adopt(self, revision: Revision) -> None:
         """From here on nothing leaves under an older one."""
-        config = read_shared(revision.text, self._own)
-        self._allowed = ready_servers(config)
+        self._config = read_shared(revision.text, self._own)
         self._revision = revision.number
         if not self._remembered:
             self._remembered = True
             self._remember()
-        self.front.apply(config)
+        self._take_effect()
         self._counters.add("store.adopted")
         if self._history:
             self._history.note("adopted", revision=revision.number, index=revision.index)
         self._log.event("store_adopted", revision=revision.number, author=revision.author)
 
+    def _follow(self, orders: Orders) -> None:
+        """From here on nothing fresh leaves for a machine that is leaving or out."""
+        if self._history:
+            for order in (*orders.open, *orders.ended):
+                if order.version > self._orders:
+                    self._history.note(
+                        "order",
+                        order=order.id,
+                        machine=order.key,
+                        state=order.state,
+                        version=order.version,
+                        index=order.index,
+                    )
+        self._orders = orders.version
+        self._barred = orders.barred(SERVER)
+        self._away = self.settings.replica in orders.barred(CONTROLLER)
+        self._take_effect()
+
+    def _take_effect(self) -> None:
+        """The configuration as the orders leave it: at once for the last look, and told to the core."""
+        if self._config is None:
+            return
+        config = with_barred(self._config, self._barred)
+        self._allowed = ready_servers(config)
+        self.front.apply(config)
+
+    def _facts(self) -> Facts | None:
+        """What the rule of maintenance has to know of this instance and its configuration."""
+        config = self._config
+        if config is None:
+            return None
+        avoided = self.front.avoided
+        return Facts(
+            plan=config.maintenance or Plan(),
+            revision=self._revision,
+            servers=frozenset(u.name for u in config.upstreams if not u.draining),
+            failed=frozenset(u.name for u in config.upstreams if server_name(u.name, u.address) in avoided),
+            idle=self.front.idle,
+        )
+
+    def _names(self) -> frozenset[str]:
+        return frozenset(u.name for u in self._config.upstreams) if self._config else frozenset()
+
     # Running
 
     async def run(
         self, stop: anyio.Event, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         async with anyio.create_task_group() as tasks:
-            Operators(self.replica, self._counters)
+            desk = Desk(self.replica, self.steward, self._names)
+            Operators(self.replica, self._counters, desk.methods)
             await tasks.start(self.replica.run)
+            tasks.start_soon(self.steward.run)
             tasks.start_soon(self._tell_view)
             if self._history:
                 tasks.start_soon(self._tell_history, self._history)
--- a/harepick/store/client.py
+++ b/harepick/store/client.py
@@ -21,6 +21,7 @@
 TRY = 3.0  # seconds for one replica to welcome us
 PAUSE = 0.1  # seconds between two rounds through the replicas
 AGAIN = ("not_leader", "busy", "lost", "unavailable")
+NUMBERED = ("set", "rollback", "maint_request", "maint_cancel", "maint_done")  # changes, each once
 BEATS = 12.0  # seconds without a sign of life after which a watch is begun anew
 
 
@@ -102,9 +103,9 @@
     async def call(self, method: str, arguments: dict[str, Any] | None = None, within: float = 10.0) -> Any:
         """The result, from whichever replica can give it; raises `StoreError`.
 
-        What may be repeated is: `set` and `rollback` under their session and number."""
+        What may be repeated is; changes under their session and number, so that they take effect once."""
         sent = dict(arguments or {})
-        if method in ("set", "rollback"):
+        if method in NUMBERED:
             self._number += 1
             sent |= {"session": self.session, "number": self._number}
         once = method in ("add", "remove", "transfer")
--- a/harepick/store/machine.py
+++ b/harepick/store/machine.py
@@ -11,6 +11,7 @@
 import msgspec
 from msgspec import Struct
 
+from harepick.fleet.maintenance import Move, OrderCommand, Orders, OrdersState, RefusedOrderError
 from harepick.gapping import Allotment, Ask
 
 FORMAT = 1  # of entries and snapshots; first byte of each
@@ -80,7 +81,7 @@
     at: float = 0.0
 
 
-Command = Put | RollBack | View | AskTurns
+Command = Put | RollBack | View | AskTurns | OrderCommand
 
 
 class Envelope(Struct, frozen=True):
@@ -119,7 +120,16 @@
     index: int
 
 
-Result = Done | Conflict | Refused | Granted
+class Ordered(Struct, frozen=True, tag="ordered"):
+    """An order (0: none) as the command left it, and the version of the orders."""
+
+    order: int
+    state: str
+    version: int
+    index: int
+
+
+Result = Done | Conflict | Refused | Granted | Ordered
 
 
 class Revision(Struct, frozen=True):
@@ -146,6 +156,7 @@
     turns: list[tuple[str, int, list[tuple[str, float]], list[tuple[str, int, int]]]] = msgspec.field(
         default_factory=list
     )  # `Allotment.dump`
+    orders: OrdersState = msgspec.field(default_factory=OrdersState)
 
 
 _envelope = msgspec.msgpack.Decoder(Envelope)
@@ -175,6 +186,7 @@
         self._sessions: OrderedDict[str, Session] = OrderedDict()
         self.views: dict[str, View] = {}
         self.turns = Allotment()  # of gaps' slots over the fleet
+        self.orders = Orders()  # machines out for work
 
     @property
     def latest(self) -> Revision | None:
@@ -234,6 +246,16 @@
             case AskTurns(instance, gap, first, demand):
                 block = self.turns.apply(Ask(instance, gap, first, demand))
                 return Granted(gap, block.first, block.length, index)
+            case _:
+                latest = self.latest.number if self.latest else 0
+                if isinstance(command, Move) and command.revision != latest:
+                    return Refused(f"decided on revision {command.revision}, and {latest} is the latest")
+                try:
+                    order = self.orders.apply(index, command)
+                except RefusedOrderError as error:
+                    return Refused(str(error))
+                number, state = (order.id, order.state) if order else (0, "")
+                return Ordered(number, state, self.orders.version, index)
 
     def _put(self, index: int, text: str, expect: int | None, author: str, note: str, at: float) -> Result:
         latest = self.latest.number if self.latest else 0
@@ -259,6 +281,7 @@
             list(self._sessions.items()),
             self.views,
             self.turns.dump(),
+            self.orders.dump(),
         )
         return bytes([FORMAT]) + msgspec.msgpack.encode(state)
 
@@ -277,3 +300,4 @@
         self.views = state.views
         self.turns = Allotment()
         self.turns.load(state.turns)
+        self.orders = Orders(state.orders)
--- a/harepick/store/node.py
+++ b/harepick/store/node.py
@@ -13,6 +13,7 @@
 
 from msgspec import Struct
 
+from harepick.fleet.maintenance import Orders
 from harepick.store.fence import LEASE, Grants, Lease
 from harepick.store.machine import (
     Done,
@@ -116,10 +117,12 @@
         *,
         lease: float = LEASE,
         adopt: Callable[[Revision], None] = lambda revision: None,
+        follow: Callable[[Orders], None] = lambda orders: None,
         snapshot_every: int = SNAPSHOT_EVERY,
         raft: type[Raft] = Raft,
     ) -> None:
         """`adopt` is called in the moment a revision takes effect: on return, nothing older is acted on.
+        `follow` likewise for the orders of machines that are out for work.
 
         Raises `FormatError` for a state of another version."""
         self.name = name
@@ -130,8 +133,9 @@
         self.lease = Lease(lease, rng.getrandbits(62))
         self.grants = Grants(lease)
         self.stopped = ""  # why it takes part in nothing any more
-        self._adopt = adopt
+        self._adopt, self._follow = adopt, follow
         self._revision = 0  # adopted last
+        self._orders = 0  # version of the orders that is followed
         self._snapshot_every = snapshot_every
         self._snapshotting = False
         self._changes: dict[int, _Change | _Membership] = {}
@@ -368,13 +372,17 @@
             self._answers.append((change.waiter, result))
 
     def _after_apply(self) -> None:
-        """A new revision takes effect here, and the leader hears of it."""
-        latest = self.machine.latest
+        """A new revision or new orders take effect here, and the leader hears of it."""
+        latest, orders = self.machine.latest, self.machine.orders
+        news = False
         if latest and latest.number != self._revision:
-            self._revision = latest.number
+            self._revision, news = latest.number, True
             self._adopt(latest)
-            if self.raft.leader and self.raft.leader != self.name:
-                self._out.append((self.raft.leader, Adopted(self.machine.applied)))
+        if orders.version != self._orders:
+            self._orders, news = orders.version, True
+            self._follow(orders)
+        if news and self.raft.leader and self.raft.leader != self.name:
+            self._out.append((self.raft.leader, Adopted(self.machine.applied)))
         self.lease.applied(self.machine.applied)
         self.grants.adopted(self.name, self.machine.applied)
 
--- a/harepick/store/operators.py
+++ b/harepick/store/operators.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import anyio
@@ -30,6 +30,7 @@
 IDLE = 300.0
 
 Method = Callable[["Operators", dict[str, Any], float], Awaitable[Any]]
+MoreMethod = Callable[[dict[str, Any], float], Awaitable[Any]]
 
 
 class BadRequestError(ValueError):
@@ -44,14 +45,15 @@
         self.code = code
 
 
-def _text(arguments: dict[str, Any], name: str, default: str | None = None) -> str:
+def argument_text(arguments: dict[str, Any], name: str, default: str | None = None) -> str:
+    """Raises `BadRequestError`, as the next one does."""
     value = arguments.get(name, default)
     if not isinstance(value, str):
         raise BadRequestError(f"argument {name} is no text: {value!r}")
     return value
 
 
-def _number(arguments: dict[str, Any], name: str, default: int | None = None) -> int:
+def argument_number(arguments: dict[str, Any], name: str, default: int | None = None) -> int:
     value = arguments.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
         raise BadRequestError(f"argument {name} is no number: {value!r}")
@@ -59,7 +61,7 @@
 
 
 def _optional(arguments: dict[str, Any], name: str) -> int | None:
-    return None if arguments.get(name) is None else _number(arguments, name)
+    return None if arguments.get(name) is None else argument_number(arguments, name)
 
 
 def told(revision: Revision, *, text: bool = True) -> dict[str, Any]:
@@ -75,8 +77,12 @@
 class Operators:
     """Serves the tools of one replica."""
 
-    def __init__(self, replica: Replica, counters: Counters) -> None:
+    def __init__(
+        self, replica: Replica, counters: Counters, more: Mapping[str, MoreMethod] | None = None
+    ) -> None:
+        """`more`: methods of other parts of the program, beside the store's own."""
         self._replica, self._counters = replica, counters
+        self._more = more or {}
         replica.transport.serve_tool = self.serve
 
     async def serve(self, stream: ByteStream, frames: Frames) -> None:
@@ -95,13 +101,16 @@
             await stream.send(wire.frame(response))
 
     async def _answer(self, request: Request) -> Response:
-        method = METHODS.get(request.method)
-        if method is None:
+        method, more = METHODS.get(request.method), self._more.get(request.method)
+        if method is None and more is None:
             return Response(request.id, error="unknown_method", text=f"no method {request.method!r}")
         wait = request.arguments.get("wait", WAIT)
         if isinstance(wait, bool) or not isinstance(wait, int | float) or not 0 < wait <= MOST_WAIT:
             return Response(request.id, error="bad_request", text=f"argument wait makes no sense: {wait!r}")
         try:
+            if method is None:
+                assert more
+                return Response(request.id, await more(request.arguments, float(wait)))
             return Response(request.id, await method(self, request.arguments, float(wait)))
         except NotLeaderError as error:
             return Response(
@@ -138,7 +147,7 @@
 
     async def history(self, arguments: dict[str, Any], wait: float) -> list[dict[str, Any]]:
         await self._fresh(arguments, wait)
-        most = _number(arguments, "most", 20)
+        most = argument_number(arguments, "most", 20)
         return [told(r, text=False) for r in self._replica.node.machine.history(most)]
 
     async def views(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
@@ -157,7 +166,7 @@
     async def _watch(self, stream: ByteStream, request: Request) -> None:
         """Every revision after `after`, in order, none missed or told twice; a beat when there is none."""
         try:
-            last = _number(request.arguments, "after", 0)
+            last = argument_number(request.arguments, "after", 0)
         except BadRequestError as error:
             await self._send(stream, Response(request.id, error="bad_request", text=str(error)))
             return
@@ -182,19 +191,19 @@
     # Changing
 
     async def set(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
-        text = _text(arguments, "text")
+        text = argument_text(arguments, "text")
         read_shared(text)  # the same reader as the file's, before anything is proposed
         body = Put(
             text,
             _optional(arguments, "expect"),
-            _text(arguments, "author", ""),
-            _text(arguments, "note", ""),
+            argument_text(arguments, "author", ""),
+            argument_text(arguments, "note", ""),
             time.time(),
         )
         return await self._change(arguments, body, wait)
 
     async def rollback(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
-        to = _number(arguments, "to")
+        to = argument_number(arguments, "to")
         await self._replica.read(wait)
         old = self._replica.node.machine.revision(to)
         if old is None:
@@ -203,26 +212,26 @@
         body = RollBack(
             to,
             _optional(arguments, "expect"),
-            _text(arguments, "author", ""),
-            _text(arguments, "note", ""),
+            argument_text(arguments, "author", ""),
+            argument_text(arguments, "note", ""),
             time.time(),
         )
         return await self._change(arguments, body, wait)
 
     async def _change(self, arguments: dict[str, Any], body: Put | RollBack, wait: float) -> dict[str, Any]:
-        session, number = _text(arguments, "session", ""), _number(arguments, "number", 0)
+        session, number = argument_text(arguments, "session", ""), argument_number(arguments, "number", 0)
         return _result(await self._replica.change(Envelope(session, number, body), wait))
 
     async def add(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
-        name, where = _text(arguments, "replica"), _text(arguments, "address")
+        name, where = argument_text(arguments, "replica"), argument_text(arguments, "address")
         peer_address(where, "address")
         return _result(await self._replica.add(name, where, wait))
 
     async def remove(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
-        return _result(await self._replica.remove(_text(arguments, "replica"), wait))
+        return _result(await self._replica.remove(argument_text(arguments, "replica"), wait))
 
     async def transfer(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
-        await self._replica.transfer(_text(arguments, "replica"), wait)
+        await self._replica.transfer(argument_text(arguments, "replica"), wait)
         return {"leader": self._replica.node.raft.leader}
 
     async def snapshot(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
--- a/harepick/store/replica.py
+++ b/harepick/store/replica.py
@@ -20,6 +20,7 @@
 from anyio.to_thread import run_sync
 
 from harepick.counters import Counters
+from harepick.fleet.maintenance import Orders
 from harepick.log import Log
 from harepick.settings import SettingsError
 from harepick.store.disk.files import OsFiles, StorageError
@@ -90,9 +91,11 @@
         counters: Counters,
         log: Log,
         adopt: Callable[[Revision], None] = lambda revision: None,
+        follow: Callable[[Orders], None] = lambda orders: None,
     ) -> None:
         self.settings = settings
         self._counters, self._log, self._adopt = counters, log, adopt
+        self._follow = follow
         self._storage = Storage(OsFiles(settings.folder))
         self._inbox: deque[Callable[[], None]] = deque()
         self._some = anyio.Event()
@@ -142,6 +145,7 @@
                 clock(),
                 lease=self.settings.lease,
                 adopt=self._adopted,
+                follow=self._followed,
             )
         except FormatError as error:
             raise StorageError(f"folder {self.settings.folder}: {error}") from None
@@ -243,6 +247,10 @@
             return
         self.notify()
 
+    def _followed(self, orders: Orders) -> None:
+        self._follow(orders)
+        self.notify()
+
     # Inputs
 
     def _put(self, work: Callable[[], None]) -> bool:
@@ -370,6 +378,16 @@
     def may_act(self) -> bool:
         return self.node.may_act(clock())
 
+    def leases(self) -> tuple[frozenset[str], Callable[[int], list[str]]] | None:
+        """While this replica leads and knows whose leases run: who may act now, and a function that tells
+        who of them may still act on something older than an index. None else, and for the first 1.1 leases
+        after an election."""
+        node = self.node
+        grants = node.grants
+        if node.stopped or node.raft.role is not Role.LEADER or grants.waits_for(0, clock()):
+            return None
+        return frozenset(grants.holders(clock())), lambda index: grants.waits_for(index, clock())
+
     def lease_left(self) -> float:
         """Seconds for which this instance may still act, by its own clock."""
         return self.node.lease.left(clock())
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -120,7 +120,7 @@
         ('[[fault]]\nkind = "link"\nfrom = "a"\nto = "b"\nloss = 2\nat = 1\nfor_s = 1', "fault[0].loss"),
         ('[[fault]]\nkind = "kill_in_change"\nat = 1\nfor_s = 1', "change.every_s"),
         ("[checks.no_such]", "checks.no_such"),
-        ("[checks.most_out]", "checks.most_out.most"),
+        ("[checks.most_out]", "checks.most_out.servers"),
         ("[clock_rate]\na = 9", "clock_rate.a"),
         ("relay_servers = true\n[checks.no_stale_arrival]", "checks.no_stale_arrival"),
     ],
@@ -153,31 +153,37 @@
     at(0.1, "rig", "process", what="serving", whom="a"),
     at(0.2, "a", "role", role="leader", term=1, stopped=""),
     at(1.0, "a", "adopted", revision=1),
-    at(1.1, "a", "left", revision=1, call="1"),
+    at(1.1, "a", "left", revision=1, call="1", server="s9@1"),
     at(1.2, "rig", "lookup", instance="a", answers=1, rcode=0),
     at(2.0, "rig", "acked", revision=2, note="n=2"),
     at(2.0, "a", "adopted", revision=2),
-    at(2.1, "a", "left", revision=2, call="2"),
+    at(2.1, "a", "left", revision=2, call="2", server="s9@1"),
     at(2.1, "rig", "arrived", server="s0", revision=2),
-    at(3.0, "rig", "out", machine="s0"),
-    at(4.0, "rig", "back", machine="s0"),
+    *[
+        at(3.0 + n / 10, "a", "order", order=1, machine="server:s0", state=state, version=n + 1)
+        for n, state in enumerate(("waiting", "leaving", "out", "back"))
+    ],
     at(5.0, "a", "admitted", limit="x"),
     at(9.0, "rig", "kept", revision=2, note="n=2"),
 ]
 WANTED = {name: dict.fromkeys(check.arguments, 1.0) for name, check in CHECKS.items()}
 BAD = [
-    ("no_stale_act", at(2.5, "a", "left", revision=1, call="3")),
+    ("no_stale_act", at(2.5, "a", "left", revision=1, call="3", server="s9@1")),
     ("no_stale_arrival", at(2.5, "rig", "arrived", server="s0", revision=1)),
     ("no_ack_lost", at(3.0, "rig", "acked", revision=3, note="n=3")),
     ("no_ack_lost", at(9.0, "rig", "kept", revision=4, note="n=2")),
     ("one_answer", at(3.0, "rig", "lookup", instance="a", answers=0, rcode=-1)),
     ("one_answer", at(3.0, "rig", "lookup", instance="a", answers=2, rcode=0)),
     ("one_leader_a_term", at(3.0, "b", "role", role="leader", term=1, stopped="")),
-    ("complete", at(3.0, "a", "left", revision=2, left_out=7)),
+    ("complete", at(3.0, "a", "left", revision=2, left_out=7, server="s9@1")),
     ("complete", at(3.0, "rig", "process", what="serving", whom="b")),
     ("no_crash", at(3.0, "rig", "process", what="ended", whom="a", code=1)),
     ("no_crash", at(3.0, "a", "role", role="follower", term=1, stopped="the disk failed")),
-    ("most_out", at(3.5, "rig", "out", machine="s1")),
+    ("most_out", at(3.25, "a", "order", order=2, machine="server:s1", state="leaving", version=3)),
+    ("most_out", at(3.35, "b", "order", order=9, machine="server:s1", state="waiting", version=4)),
+    ("no_fresh_to_out", at(3.25, "a", "left", server="s0@1", revision=2, orders=3)),
+    ("no_fresh_to_out", at(3.25, "rig", "arrived", server="s0", revision=2)),
+    ("no_fresh_to_out", at(3.25, "a", "left", server="s1@1", revision=2, orders=1)),
     ("admissions", [at(5.5 + n / 100, "b", "admitted", limit="x") for n in range(2)]),
 ]
 
@@ -198,7 +204,7 @@
 
 
 def test_the_stretch_of_a_stale_act_is_the_adoption_the_acknowledgement_and_the_act() -> None:
-    act = at(2.5, "a", "left", revision=1, call="3")
+    act = at(2.5, "a", "left", revision=1, call="3", server="s9@1")
     later = at(2.3, "rig", "acked", revision=3, note="n=3")
     events = sorted([*GOOD, act, later], key=lambda event: event.mono)
     _, _, told = run_checks(events, {"no_stale_act": {}})
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -28,6 +28,7 @@
 from harepick.fleet.processes import ROOT, udp_owner
 from harepick.fleet.relay import Relay, RelayError, on_loopback, store_speaker
 from harepick.fleet.scenario import make_scenario
+from harepick.fleet.upkeep import Upkeep
 from harepick.store.wire import LENGTH, Hello, frame
 from tests.peers import until
 
@@ -254,9 +255,10 @@
 """
 
 
-def play(folder: Path, text: str, seed: int = 1) -> Report:
+def play(folder: Path, text: str, seed: int = 1, upkeep: Upkeep | None = None) -> Report:
     scenario = make_scenario(tomllib.loads(text), "test")
-    return anyio.run(Play(scenario, seed, folder).run)
+    beside = upkeep.run if upkeep else None
+    return anyio.run(Play(scenario, seed, folder, beside=beside).run)
 
 
 def fails(report: Report) -> dict[str, Any]:
@@ -288,3 +290,52 @@
     violation = next(v for v in report.told if v.check == "no_stale_act")
     assert [e.event for e in violation.stretch] == ["adopted", "acked", "left"]
     assert violation.stretch[-1].name == "c"
+
+
+# One instance hears nothing any more, right before a server is asked out: it may act for a lease yet.
+DRAIN = """
+instances = 3
+servers = 2
+lease_ms = 1500
+seconds = 5.0
+settings = "[maintenance]\\nmax_out = 1\\n"
+[load]
+rate = 150.0
+[[fault]]
+kind = "link"
+from = "*"
+to = "c"
+drop = true
+at = 1.0
+for_s = 3.0
+[checks]
+no_fresh_to_out = {}
+most_out = { servers = 1, controllers = 1 }
+one_answer = {}
+one_leader_a_term = {}
+complete = {}
+no_crash = {}
+"""
+BOTH = ("server:s0", "server:s1")
+
+
+@pytest.mark.alone
+def test_a_server_goes_out_while_one_instance_is_cut_off_one_way(tmp_path: Path) -> None:
+    upkeep = Upkeep(BOTH, work=0.5, begin=1.05)
+    report = play(tmp_path, DRAIN, upkeep=upkeep)
+    line = report.line()
+    assert report.ok, (line, [(v.why, [e.told(report.start) for e in v.stretch]) for v in report.told])
+    assert upkeep.asked == upkeep.done == 2 and line["most_out_at_once"] == 1
+    assert line["fresh_calls_to_out_servers"] == line["stale_orders"] == 0 and line["served"] > 100
+    states = [e["state"] for e in report.events if e.event == "order" and e.name == "a"]
+    assert states.count("out") == 2 and states.count("back") == 2
+
+
+@pytest.mark.alone
+def test_its_twin_without_the_confirmation_is_found_out(tmp_path: Path) -> None:
+    doubles = "".join(f'{name} = "skip-confirmation"\n' for name in "abc")
+    report = play(tmp_path, DRAIN + "[double]\n" + doubles, upkeep=Upkeep(BOTH, work=0.5, begin=1.05))
+    assert not report.ok and not report.error
+    assert fails(report).keys() == {"no_fresh_to_out"}, fails(report)
+    late = [v.stretch[-1] for v in report.told if v.stretch[-1].event == "left"]
+    assert late and {event.name for event in late} == {"c"}
--- /dev/null
+++ b/tests/test_maintenance.py
@@ -0,0 +1,371 @@
+"""Machines out for work: the orders, the rule, and its plan, each without I/O."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from harepick.fleet.maintenance.orders import (
+    CONTROLLER,
+    SERVER,
+    AskOut,
+    Finish,
+    Idle,
+    Move,
+    Order,
+    Orders,
+    RefusedOrderError,
+    Seat,
+    Withdraw,
+)
+from harepick.fleet.maintenance.rule import Group, Plan, Sight, decide, hold, seats, why
+from harepick.settings import SettingsError, read_shared
+from harepick.store.machine import Envelope, Machine, Ordered, Put, Refused, encode
+
+SERVERS = frozenset(f"s{n}" for n in range(4))
+NAMES = ("a", "b", "c")
+
+
+def sight(**changes: Any) -> Sight:
+    base = Sight("a", 100.0, 1, SERVERS, frozenset(), NAMES, frozenset(NAMES), lambda index: [])
+    return replace(base, **changes)
+
+
+class Log:
+    """Applies commands one after another, as a replica does."""
+
+    def __init__(self) -> None:
+        self.orders, self.index = Orders(), 0
+
+    def apply(self, command: Any) -> Order | None:
+        self.index += 1
+        return self.orders.apply(self.index, command)
+
+    def ask(self, machine: str, kind: str = SERVER, **more: Any) -> int:
+        order = self.apply(AskOut(kind, machine, **more))
+        assert order
+        return order.id
+
+    def settle(self, plan: Plan, seen: Sight, most: int = 20) -> None:
+        """All that the rule says, until it has nothing more to say."""
+        for _ in range(most):
+            step = decide(self.orders, plan, seen)
+            if step is None:
+                return
+            self.apply(step)
+        raise AssertionError("the rule never settles")
+
+    def state(self, number: int) -> str:
+        order = self.orders.get(number)
+        assert order
+        return order.state
+
+
+def test_first_come_first_out_within_the_budget_and_back_in_the_log_s_order() -> None:
+    log, seen = Log(), sight()
+    one, two, three = (log.ask(name) for name in ("s2", "s0", "s1"))
+    log.settle(Plan(max_out=2), seen)
+    assert [log.state(n) for n in (one, two, three)] == ["out", "out", "waiting"]
+    order = log.orders.get(three)
+    assert order and "max_out is 2" in why(order, log.orders, Plan(max_out=2), seen)
+    log.apply(Finish(one))
+    assert log.orders.barred(SERVER) == {"s0"}
+    log.settle(Plan(max_out=2), seen)
+    assert [log.state(n) for n in (one, two, three)] == ["back", "out", "out"]
+
+
+def test_a_higher_priority_goes_before_what_waits_and_calls_nothing_back() -> None:
+    log, seen, plan = Log(), sight(), Plan()
+    first = log.ask("s0")
+    log.settle(plan, seen)
+    low, high = log.ask("s1"), log.ask("s2", priority=5)
+    log.settle(plan, seen)
+    assert log.state(first) == "out"
+    order = log.orders.get(low)
+    assert order and "max_out" in why(order, log.orders, plan, seen)
+    log.apply(Finish(first))
+    log.settle(plan, seen)
+    assert (log.state(low), log.state(high)) == ("waiting", "out")
+
+
+def test_two_requests_for_the_last_spare_one_goes_and_the_other_says_why() -> None:
+    log, seen = Log(), sight()
+    plan = Plan(max_out=4, floor=3.0)
+    one, two = log.ask("s0"), log.ask("s1")
+    log.settle(plan, seen)
+    assert (log.state(one), log.state(two)) == ("out", "waiting")
+    order = log.orders.get(two)
+    assert (
+        order and why(order, log.orders, plan, seen) == "it would leave a capacity of 2, and the floor is 3"
+    )
+
+
+def test_a_large_server_at_the_floor_is_not_passed_over_for_ever() -> None:
+    log, seen = Log(), sight()
+    plan = Plan(max_out=4, floor=3.0, capacity={"s0": 3.0})
+    log.ask("s3")  # leaves 5 of 6
+    log.settle(plan, seen)
+    large, small = log.ask("s0"), log.ask("s1")
+    log.settle(plan, seen)
+    assert (log.state(large), log.state(small)) == ("waiting", "waiting")
+    order = log.orders.get(small)
+    assert order and why(order, log.orders, plan, seen) == f"order {large} (s0) goes first"
+
+
+def test_never_the_last_of_a_group_nor_of_all_and_others_pass_it() -> None:
+    plan = Plan(max_out=4, groups=(Group("Kandy", frozenset({"s0", "s1"})),))
+    log, seen = Log(), sight()
+    one, two, three = log.ask("s0"), log.ask("s1"), log.ask("s2")
+    log.settle(plan, seen)
+    assert [log.state(n) for n in (one, two, three)] == ["out", "waiting", "out"]
+    order = log.orders.get(two)
+    assert order and "last server in service of Kandy" in why(order, log.orders, plan, seen)
+    four = log.ask("s3")
+    log.settle(Plan(max_out=4), seen)  # without the group: the last of all stays
+    assert [log.state(n) for n in (two, four)] == ["out", "waiting"]
+
+
+def test_a_failed_server_takes_no_capacity_away_and_does_not_count_as_in_service() -> None:
+    plan = Plan(max_out=2, floor=3.0)
+    log, seen = Log(), sight(failed=frozenset({"s1"}))
+    healthy, failed = log.ask("s0"), log.ask("s1", priority=1)
+    log.settle(plan, seen)
+    assert (log.state(healthy), log.state(failed)) == ("waiting", "out")
+    log, seen = Log(), sight(failed=frozenset({"s1", "s2", "s3"}))
+    last = log.ask("s0")
+    log.settle(Plan(), seen)
+    assert log.state(last) == "waiting", "the only one that still serves was taken out"
+
+
+def test_a_window_opens_and_closes_and_holds_nobody_else_back() -> None:
+    log, plan = Log(), Plan()
+    later, now = log.ask("s0", opens=200.0, closes=300.0), log.ask("s1")
+    log.settle(plan, sight(now=100.0))
+    assert (log.state(later), log.state(now)) == ("waiting", "out")
+    log.apply(Finish(now))
+    log.settle(plan, sight(now=300.0))
+    assert log.state(later) == "waiting"
+    order = log.orders.get(later)
+    assert order and "window is over" in why(order, log.orders, plan, sight(now=300.0))
+    log.settle(plan, sight(now=299.0))
+    assert log.state(later) == "out"
+
+
+def test_a_server_is_out_only_when_nobody_may_act_on_an_older_order() -> None:
+    log, plan = Log(), Plan()
+    number = log.ask("s0")
+    behind = sight(waits=lambda index: ["c"])
+    log.settle(plan, behind)
+    assert log.state(number) == "leaving" and log.orders.barred(SERVER) == {"s0"}
+    order = log.orders.get(number)
+    assert order
+    assert why(order, log.orders, plan, behind) == "not confirmed by c"
+    asked: list[int] = []
+
+    def waits(index: int) -> list[str]:
+        asked.append(index)
+        return []
+
+    log.settle(plan, sight(waits=waits, live=frozenset({"a", "b"})))
+    left, order = order, log.orders.get(number)
+    assert order and order.state == "out" and order.gone == ("c",)
+    assert set(asked) == {left.index}, "confirmed is the entry of its leaving, and no other"
+    assert [state for state, _ in order.steps] == ["waiting", "leaving", "out"]
+
+
+def test_a_controller_goes_out_idle_not_leading_and_never_costs_the_majority() -> None:
+    log, plan = Log(), Plan(max_out_controllers=3)
+    b, c = log.ask("b", CONTROLLER), log.ask("c", CONTROLLER)
+    log.settle(plan, sight())
+    assert (log.state(b), log.state(c)) == ("leaving", "waiting")
+    order = log.orders.get(c)
+    assert order and "a majority is 2" in why(order, log.orders, plan, sight())
+    order = log.orders.get(b)
+    assert order and why(order, log.orders, plan, sight()) == "b has calls under way"
+    log.apply(Idle(b, "b"))
+    assert "leads" in why(log.orders.get(b) or order, log.orders, plan, sight(name="b"))
+    log.settle(plan, sight(name="b"))
+    assert log.state(b) == "leaving", "it leads, and has not handed over"
+    log.settle(plan, sight())
+    assert log.state(b) == "out"
+    # One that died while it left is out once its lease is over.
+    log = Log()
+    b = log.ask("b", CONTROLLER)
+    log.settle(plan, sight())
+    log.settle(plan, sight(live=frozenset({"a", "c"})))
+    assert log.state(b) == "out"
+
+
+def test_a_move_decided_on_other_orders_or_another_revision_changes_nothing() -> None:
+    machine, index = Machine(), 0
+
+    def apply(body: Any) -> Any:
+        nonlocal index
+        index += 1
+        return machine.apply(index, encode(Envelope("", 0, body)))
+
+    apply(Put("x"))
+    first, second = apply(AskOut(SERVER, "s0")), apply(AskOut(SERVER, "s1"))
+    assert isinstance(first, Ordered) and isinstance(second, Ordered)
+    step = decide(machine.orders, Plan(), replace(sight(), live=frozenset(), controllers=()))
+    assert isinstance(step, Move) and step.order == first.order
+    rival = replace_move(step, order=second.order)
+    assert isinstance(apply(step), Ordered)
+    assert isinstance(apply(rival), Refused), "two leaders spent one budget"
+    apply(Put("y"))
+    stale = replace_move(step, order=second.order, expect=machine.orders.version)
+    refused = apply(stale)
+    assert isinstance(refused, Refused) and "revision 1" in refused.why
+    copy = Machine()
+    copy.restore(machine.snapshot())
+    assert copy.orders.dump() == machine.orders.dump()
+    assert copy.orders.barred(SERVER) == {"s0"}
+
+
+def replace_move(step: Move, **changes: Any) -> Move:
+    fields = {name: getattr(step, name) for name in Move.__struct_fields__}
+    return Move(**(fields | changes))
+
+
+@pytest.mark.parametrize(
+    ("commands", "why_not"),
+    [
+        ([AskOut(SERVER, "s0"), AskOut(SERVER, "s0")], "has s0 already"),
+        ([AskOut("desk", "s0")], "no kind"),
+        ([AskOut(SERVER, "s0", opens=2.0, closes=2.0)], "closes before it opens"),
+        ([Finish(1)], "no open order"),
+        ([AskOut(SERVER, "s0"), Finish(1)], "only what is out"),
+        ([AskOut(SERVER, "s0"), Move(1, "out", 1, 0, "a")], "does not become out"),
+        ([AskOut(SERVER, "s0"), Move(1, "leaving", 0, 0, "a")], "version 0"),
+        ([AskOut(SERVER, "s0"), Idle(1, "s0")], "idle"),
+        ([AskOut(SERVER, "s0"), Withdraw(1), Withdraw(1)], "no open order"),
+        ([Seat("a", "asleep", 0)], "never"),
+    ],
+)
+def test_what_makes_no_sense_is_refused_and_changes_nothing(commands: list[Any], why_not: str) -> None:
+    log = Log()
+    for command in commands[:-1]:
+        log.apply(command)
+    before = log.orders.dump()
+    with pytest.raises(RefusedOrderError, match=why_not):
+        log.apply(commands[-1])
+    assert log.orders.dump() == before
+
+
+def test_membership_follows_the_leases() -> None:
+    log = Log()
+    log.settle(Plan(), sight(live=frozenset({"a", "b"})))
+    assert log.orders.seats == {"a": "serving", "b": "serving", "c": "joining"}
+    log.settle(Plan(), sight(live=frozenset({"a", "c"})))
+    assert log.orders.seats == {"a": "serving", "b": "gone", "c": "serving"}
+    log.settle(Plan(), sight(controllers=("a", "c"), live=frozenset({"a", "c"})))
+    assert log.orders.seats == {"a": "serving", "c": "serving"}
+    assert not list(seats(log.orders, sight(controllers=("a", "c"), live=frozenset({"a", "c"}))))
+
+
+class Fleet(RuleBasedStateMachine):
+    """Requests, ends, failures and lost leases in any order, the rule in between: what always holds."""
+
+    plan = Plan(
+        max_out=2,
+        max_out_controllers=1,
+        floor=2.0,
+        capacity={"s3": 2.0},
+        groups=(Group("north", frozenset({"s0", "s1"})),),
+    )
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log = Log()
+        self.failed: frozenset[str] = frozenset()
+        self.live = frozenset(NAMES)
+
+    def seen(self) -> Sight:
+        return sight(failed=self.failed, live=self.live)
+
+    @rule(name=st.sampled_from(sorted(SERVERS)), priority=st.integers(-1, 1))
+    def ask(self, name: str, priority: int) -> None:
+        if self.log.orders.of(SERVER, name) is None:
+            self.log.ask(name, priority=priority)
+
+    @rule(name=st.sampled_from(NAMES[1:]))
+    def ask_controller(self, name: str) -> None:
+        if self.log.orders.of(CONTROLLER, name) is None:
+            self.log.ask(name, CONTROLLER)
+
+    @rule(pick=st.integers(0, 20))
+    def end(self, pick: int) -> None:
+        if orders := self.log.orders.open:
+            order = orders[pick % len(orders)]
+            self.log.apply(Finish(order.id) if order.state == "out" else Withdraw(order.id))
+
+    @rule(name=st.sampled_from(sorted(SERVERS)))
+    def fail_or_mend(self, name: str) -> None:
+        self.failed = self.failed ^ {name}
+
+    @rule(name=st.sampled_from(NAMES[1:]))
+    def lose_or_find(self, name: str) -> None:
+        self.live = self.live ^ {name}
+
+    @rule()
+    def step(self) -> None:
+        found = decide(self.log.orders, self.plan, self.seen())
+        if found is None:
+            return
+        if isinstance(found, Move) and found.to == "leaving":
+            order = self.log.orders.get(found.order)
+            assert order and hold(order, self.log.orders, self.plan, self.seen()) is None
+            if order.kind == SERVER and order.machine not in self.failed:
+                serving = SERVERS - self.log.orders.barred(SERVER) - self.failed - {order.machine}
+                assert sum(self.plan.capacity.get(s, 1.0) for s in serving) >= self.plan.floor
+                assert serving & {"s0", "s1"} or order.machine not in {"s0", "s1"}
+        self.log.apply(found)
+
+    @invariant()
+    def budget(self) -> None:
+        assert len(self.log.orders.barred(SERVER)) <= self.plan.max_out
+        assert len(self.log.orders.barred(CONTROLLER)) <= self.plan.max_out_controllers
+
+    @invariant()
+    def a_copy_is_the_same(self) -> None:
+        assert Orders(self.log.orders.dump()).dump() == self.log.orders.dump()
+
+
+TestFleet = Fleet.TestCase
+TestFleet.settings = settings(max_examples=80, stateful_step_count=40, derandomize=True, deadline=None)
+
+SHARED = '[[upstream]]\nname = "s0"\naddress = "127.0.0.1:1"\n'
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ("max_outs = 1", "maintenance.max_outs"),
+        ("max_out = -1", "maintenance.max_out"),
+        ("max_out = true", "maintenance.max_out"),
+        ("floor = -0.5", "maintenance.floor"),
+        ("capacity = { s9 = 1 }", "maintenance.capacity.s9"),
+        ("capacity = { s0 = 'x' }", "maintenance.capacity.s0"),
+        ('group = [{ name = "x", servers = ["s9"] }]', "maintenance.group[0].servers"),
+        ('group = [{ name = "", servers = ["s0"] }]', "maintenance.group[0].name"),
+        ('group = [{ name = "x", server = ["s0"] }]', "maintenance.group[0].server"),
+    ],
+)
+def test_a_faulty_plan_names_its_key(text: str, key: str) -> None:
+    with pytest.raises(SettingsError) as caught:
+        read_shared(SHARED + "[maintenance]\n" + text)
+    assert f"setting {key} " in str(caught.value), caught.value
+
+
+def test_a_plan_is_read() -> None:
+    text = (
+        'max_out = 2\nfloor = 1.5\ncapacity = { s0 = 2 }\n[[maintenance.group]]\nname = "x"\nservers = ["s0"]'
+    )
+    config = read_shared(SHARED + "[maintenance]\n" + text)
+    assert config.maintenance == Plan(2, 1, 1.5, {"s0": 2.0}, (Group("x", frozenset({"s0"})),))
+    assert read_shared(SHARED).maintenance is None
