Show who is out for work on the ops listener, and give the store's daemons that listener

Change: [ops] listen in an instance's own file; readiness (current, and not out itself), the figures of the ENUM front (each look-up counted by class where its answer is written), and /api/maintenance, the orders as this instance last applied them.

Measured: one real daemon, by command line and HTTP: a server asked out gets none of 40 look-ups, also after a kill and restart of the daemon; done brings it back; the last of a group waits and says so.

--- a/harepick/enumdns/front.py
+++ b/harepick/enumdns/front.py
@@ -30,6 +30,7 @@
 LENGTH = struct.Struct(">H")
 SEND_TIMEOUT = 2.0
 BURST = 1 << 20  # bytes that may wait in the UDP socket while the core is busy
+RESULT = {"served": "completed", "refused": "rejected", "failed": "failed"}  # as the figures name them
 MARGIN = 0.2  # an answer is on its way so long before the look-up's deadline
 Key = tuple[object, int, codec.Question]
 Write = Callable[[bytes], None]
@@ -51,13 +52,13 @@
 class Lookup:
     """One look-up under way: the caller of a call, to the core."""
 
-    __slots__ = ("_client", "_front", "_key", "call", "inbox", "query")
+    __slots__ = ("_client", "_front", "_key", "call", "inbox", "lane", "query")
 
     def __init__(
-        self, front: Front, inbox: Inbox, call: str, key: Key, query: codec.Query, client: Client
+        self, front: Front, inbox: Inbox, call: str, key: Key, query: codec.Query, client: Client, lane: str
     ) -> None:
         self._front, self.inbox, self.call, self._key = front, inbox, call, key
-        self.query, self._client = query, client
+        self.query, self._client, self.lane = query, client, lane
 
     def stands(self, description: bytes) -> None:
         room = self._client.room(self.query)
@@ -90,6 +91,7 @@
     def _done(self, data: bytes, kind: str) -> None:
         if self._front.finished(self._key):
             self._front.counters.add(f"enum.{kind}")
+            self._front.counters.answered(self.lane, RESULT[kind])
             self._client.write(data)
 
 
@@ -225,7 +227,7 @@
             return
         self._count += 1
         call = f"enum-{self._count}"
-        lookup = self._open[key] = Lookup(self, serving.inbox, call, key, query, client)
+        lookup = self._open[key] = Lookup(self, serving.inbox, call, key, query, client, config.call_class)
         await serving.inbox.put(
             Offer(
                 call=call,
--- a/harepick/enumdns/service.py
+++ b/harepick/enumdns/service.py
@@ -139,6 +139,15 @@
         """No look-up is under way."""
         return all(generation.engine.idle for generation in self._generations)
 
+    @property
+    def pending(self) -> int:
+        """Look-ups taken and not ended."""
+        return sum(generation.engine.pending for generation in self._generations)
+
+    @property
+    def members(self) -> int:
+        return self._generations[-1].engine.members if self._generations else 0
+
     @property
     def avoided(self) -> frozenset[str]:
         """Servers that fresh look-ups avoid now, as the latest core sees them."""
--- a/harepick/ops/listener.py
+++ b/harepick/ops/listener.py
@@ -9,10 +9,13 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from functools import partial
+from typing import Any
 
 import anyio
 import h11
+import orjson
 from anyio.abc import SocketListener, SocketStream, TaskStatus
 from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
 
@@ -28,6 +31,11 @@
 CHUNK = 4 * 1024
 SERVER = b"harepick"
 TEXT = b"text/plain; charset=utf-8"
+JSON = b"application/json"
+
+
+def _json(page: Callable[[], Any]) -> tuple[int, bytes, bytes]:
+    return 200, orjson.dumps(page()) + b"\n", JSON
 
 
 class _Caller:
@@ -42,13 +50,23 @@
 class OpsListener:
     """Serves `GET /api/ready` and `GET /api/telemetry` from `status` on `address` until cancelled."""
 
-    def __init__(self, address: Address, status: Status, counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        address: Address,
+        status: Status,
+        counters: Counters,
+        log: Log,
+        pages: Mapping[str, Callable[[], Any]] | None = None,
+    ) -> None:
+        """`pages`: other paths, each with what its JSON is made of at the moment of the call."""
         self._address, self._status, self._counters, self._log = address, status, counters, log
         self._callers: set[_Caller] = set()
         self._routes: dict[bytes, Callable[[], tuple[int, bytes, bytes]]] = {
             b"/api/ready": self._ready,
             b"/api/telemetry": self._telemetry,
         }
+        for path, page in (pages or {}).items():
+            self._routes[path.encode()] = partial(_json, page)
 
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         where = self._address
--- a/harepick/store/attach.py
+++ b/harepick/store/attach.py
@@ -28,7 +28,7 @@
 from harepick.fleet.maintenance.rule import Plan
 from harepick.fleet.maintenance.steward import Facts, Steward, with_barred
 from harepick.log import Log
-from harepick.settings import OWN_KEYS, Enum, SettingsError, address, read_shared, read_toml
+from harepick.settings import OWN_KEYS, Address, Enum, SettingsError, address, read_shared, read_toml
 from harepick.store.disk.files import StorageError
 from harepick.store.machine import Conflict, Done, Envelope, Put, Revision, View, ViewRow
 from harepick.store.operators import Operators
@@ -38,6 +38,7 @@
 
 if TYPE_CHECKING:
     from harepick.fleet.history import Recorder
+    from harepick.ops import Telemetry
 
 VIEW_EVERY = 1.0  # seconds between two writes of the pool view
 FIRST_EVERY = 0.5  # between two tries to write the first configuration
@@ -58,6 +59,8 @@
         self.settings: StoreSettings = settings
         self._own, self._first = _own_part(table, path)
         self._history = _recorder(table, settings.replica)
+        self._ops = _ops_address(table)
+        self._serving = False
         self._counters, self._log = counters, log
         self._allowed: frozenset[str] = frozenset()
         self._revision = 0
@@ -160,6 +163,24 @@
     def _names(self) -> frozenset[str]:
         return frozenset(u.name for u in self._config.upstreams) if self._config else frozenset()
 
+    # What the ops listener tells
+
+    def ready(self) -> bool:
+        return self._serving and self.shut() is None
+
+    def telemetry(self) -> Telemetry:
+        from harepick.ops import Telemetry
+
+        counters = self._counters
+        return Telemetry(
+            lanes=counters.lanes(),
+            upstream_requests=counters["enum.sent_udp"] + counters["enum.sent_tcp"],
+            pending=self.front.pending,
+            members=self.front.members,
+            members_unavailable=len(self.front.avoided),
+            config_reloads=counters["store.adopted"],
+        )
+
     # Running
 
     async def run(
@@ -173,11 +194,23 @@
             tasks.start_soon(self._tell_view)
             if self._history:
                 tasks.start_soon(self._tell_history, self._history)
+            if self._ops:  # off unless configured: not even loaded then
+                from harepick.ops import OpsListener
+
+                pages = {"/api/maintenance": self.steward.status}
+                await tasks.start(OpsListener(self._ops, self, self._counters, self._log, pages).run)
+                tasks.start_soon(self._until_stopped, stop)
             if self._first is not None:
                 tasks.start_soon(self._write_first, self._first)
             await self.front.run(stop, task_status=task_status)
             tasks.cancel_scope.cancel()
 
+    async def _until_stopped(self, stop: anyio.Event) -> None:
+        """Ready from the first current configuration on, until the stop."""
+        self._serving = True
+        await stop.wait()
+        self._serving = False
+
     async def _tell_history(self, history: Recorder) -> None:
         """Changes of role, and of whether this instance may act."""
         history.note("began", process=os.getpid())
@@ -267,9 +300,19 @@
         raise SettingsError(f"setting history.file: {error.strerror}: {path}") from None
 
 
+def _ops_address(table: Mapping[str, Any]) -> Address | None:
+    """`[ops] listen`: where readiness, figures and the orders of maintenance are told; off without it."""
+    ops = table.get("ops")
+    if ops is None:
+        return None
+    if not isinstance(ops, Mapping) or set(ops) - {"listen"}:
+        raise SettingsError(f"setting ops is not a table with listen: {ops!r}")
+    return address(ops.get("listen"), "ops.listen")
+
+
 def _own_part(table: Mapping[str, Any], path: str) -> tuple[dict[str, Any], str | None]:
     """An instance's own keys of [enum], and the text of the first configuration."""
-    for section in sorted(table.keys() - {"store", "enum", "history"}):
+    for section in sorted(table.keys() - {"store", "enum", "history", "ops"}):
         raise SettingsError(
             f"setting {section} belongs in the store's configuration: "
             "put it in the file that store.first names"
--- /dev/null
+++ b/tests/test_maint_daemons.py
@@ -0,0 +1,92 @@
+"""Machines out for work on real daemons: what an operator types, and what the ops listener tells."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import orjson
+
+from benchmarks.daemons import HOST, Cluster, Daemon, config_text
+from harepick.fleet.ports import free_port
+from tests.dnspeers import Client, Upstream
+from tests.peers import ops_call, until
+
+PLAN = '[maintenance]\nmax_out = 1\n[[maintenance.group]]\nname = "Galle"\nservers = ["south"]\n'
+
+
+def started(cluster: Cluster) -> tuple[Daemon, int]:
+    """The one instance, with an ops listener; and that one's port."""
+    daemon, ops = cluster.daemons[0], free_port()
+    daemon.path.write_text(daemon.path.read_text() + f'[ops]\nlisten = "{HOST}:{ops}"\n')
+    cluster.start()
+    until(lambda: daemon.events("store_adopted"), why="the configuration")
+    until(lambda: ops_call(ops, "/api/ready")[0] == 200, why="readiness")
+    return daemon, ops
+
+
+def states(cluster: Cluster) -> dict[str, str]:
+    told = orjson.loads(cluster.ask("maint", "list", "--json"))
+    return {row["machine"]: row["state"] for row in told["orders"]}
+
+
+def test_an_operator_takes_a_server_out_works_and_brings_it_back(tmp_path: Path) -> None:
+    north, south = Upstream(), Upstream()
+    text = config_text(("north", north.port), ("south", south.port), extra=PLAN)
+    cluster = Cluster(1, tmp_path, text)
+    try:
+        daemon, ops = started(cluster)
+        client = Client(daemon.dns_port)
+        client.warm_up(30)
+        assert len(north.came()) > 0 and len(south.came()) > 0
+        assert "no server 'west'" in cluster.ask("maint", "request", "west", code=1)
+        assert "order 1: north is waiting" in cluster.ask("maint", "request", "north", "--reason", "disks")
+        until(lambda: states(cluster) == {"server:north": "out"}, why="north out")
+        assert "has north already" in cluster.ask("maint", "request", "server:north", code=1)
+        cluster.ask("maint", "request", "south")
+        before = len(north.came())
+        for n in range(30):
+            client.ask(f"{n % 10}.4.3.2.1.1.1.4.9.e164.arpa.")
+        assert len(north.came()) == before, "a look-up went to a server that is out"
+        assert "max_out is 1" in cluster.ask("maint", "explain", "2")
+        status, body = ops_call(ops, "/api/maintenance")
+        page = orjson.loads(body)
+        assert status == 200 and page["current"] and page["controllers"] == {"r0": "serving"}
+        assert [(row["machine"], row["state"]) for row in page["orders"]] == [
+            ("server:north", "out"),
+            ("server:south", "waiting"),
+        ]
+        # It stays out over a restart of the instance.
+        daemon.kill()
+        daemon.start()
+        until(lambda: len(daemon.events("serving")) == 2, why="the restart")
+        until(lambda: states(cluster)["server:north"] == "out", why="the order")
+        until(lambda: ops_call(ops, "/api/ready")[0] == 200, why="readiness")
+        for n in range(10):
+            client.ask(f"{n}.4.3.2.1.1.1.4.9.e164.arpa.")
+        assert len(north.came()) == before
+        assert "order 1 is back" in cluster.ask("maint", "done", "1")
+        # South is the last server of its group: it waits, and says so.
+        until(
+            lambda: "last server in service of Galle" in cluster.ask("maint", "explain", "2"), why="the group"
+        )
+        assert "only what is out" in cluster.ask("maint", "done", "2", code=1)
+        cluster.ask("maint", "cancel", "2")
+        assert states(cluster) == {}
+        until(lambda: client.ask() is not None and len(north.came()) > before, why="north to be used again")
+        shown = orjson.loads(cluster.ask("maint", "show", "1", "--json"))
+        assert [step["state"] for step in shown["steps"]] == ["waiting", "leaving", "out", "back"]
+        assert shown["reason"] == "disks"
+        figures = ops_call(ops, "/api/telemetry")[1].decode()
+        assert 'downstream_requests_total{lane="look-up",result="completed"}' in figures
+        assert "edge_gw_members 2.0" in figures
+        assert daemon.stop() == 0
+    finally:
+        cluster.end()
+        for upstream in (north, south):
+            upstream.close()
+
+
+def test_a_window_that_is_no_window_is_refused_before_anything_is_sent(tmp_path: Path) -> None:
+    cluster = Cluster(1, tmp_path, config_text(("north", 1)))
+    for window, why in (("tomorrow", "no FROM/TO"), ("x/y", "--window"), ("2026-02-01/2026-01-01", "closes")):
+        assert why in cluster.tool("maint", "request", "north", "--window", window, code=2)
