--- a/harepick/cli/main.py
+++ b/harepick/cli/main.py
@@ -13,9 +13,11 @@
     "config": ("harepick.cli.config", "config", "Read and change the store's configuration."),
     "fleet": ("harepick.cli.fleet", "fleet", "Play scenarios of faults on a fleet of instances."),
     "gap": ("harepick.cli.gap", "gap", "Look at the gaps that a configuration file sets."),
+    "limit": ("harepick.cli.limit", "limit", "Limits that hold over all instances together."),
     "maint": ("harepick.cli.maint", "maint", "Take machines out for work, and bring them back."),
     "run": ("harepick.cli.run", "run", "Run one instance."),
     "store": ("harepick.cli.store", "store", "Set up and look after the replicated store."),
+    "verdict": ("harepick.cli.limit", "verdict", "What one instance found out and all honour."),
 }
 
 
--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -210,11 +210,13 @@
             self._counters.add("answers.not_current")
             offer.caller.refused(min(wait, self._settings.max_advice))
             return []
-        if self.screen and (wait := self.screen.refuses(offer.called, offer.class_name, now)) is not None:
-            self._counters.add("answers.gapped")  # never booked: no server hears of it, nor the module
-            advice = self._settings.max_advice
-            offer.caller.refused(min(wait, advice) if advice > 0 else wait)
-            return []
+        if self.screen:
+            wait = self.screen.refuses(offer.called, offer.class_name, now, offer.source)
+            if wait is not None:
+                self._counters.add("answers.gapped")  # never booked: no server hears of it, nor the module
+                advice = self._settings.max_advice
+                offer.caller.refused(min(wait, advice) if advice > 0 else wait)
+                return []
         self._counters.add("calls.taken")
         entry = self._ledger.book(offer, self._settings.try_limit)
         self._timers.set(offer.deadline + self._settings.answer_grace, entry)
--- a/harepick/core/words.py
+++ b/harepick/core/words.py
@@ -43,6 +43,7 @@
     redial: bool = False
     again: bool = False
     called: str = ""  # the number called, as the front's numbering plan writes it
+    source: str = ""  # the caller's address, where the front tells it
 
 
 @dataclass(slots=True, eq=False)
@@ -95,8 +96,9 @@
 class Screen(Protocol):
     """What an operator said of numbers, asked before a call is booked (number gapping)."""
 
-    def refuses(self, called: str, class_name: str, now: float) -> float | None:
-        """None: the call goes on. Else it is refused; its caller is to come back after so many seconds."""
+    def refuses(self, called: str, class_name: str, now: float, source: str = "") -> float | None:
+        """None: the call goes on. Else it is refused; its caller is to come back after so many seconds.
+        `source`: the caller's address, where the front tells it."""
 
 
 # Words from the fronts
--- a/harepick/enumdns/front.py
+++ b/harepick/enumdns/front.py
@@ -240,5 +240,6 @@
                 caller=lookup,
                 request=query.question,
                 called=number,
+                source=client.host,
             )
         )
--- a/harepick/enumdns/service.py
+++ b/harepick/enumdns/service.py
@@ -31,6 +31,8 @@
 from harepick.settings import Address, Enum, SettingsError, read_operator
 
 if TYPE_CHECKING:
+    from harepick.fleet.limits.screen import FleetScreen
+    from harepick.gapping.gaps import Owner
     from harepick.gapping.screen import GapScreen
 
 STILL_COMING = 0.2  # after a stop, queries on their way are still taken for so long
@@ -101,8 +103,10 @@
         *,
         path: str | None = None,
         gate: Gate | None = None,
+        outer: FleetScreen | None = None,
     ) -> None:
-        """`path`: the operator's file, read again on `reload`; none: `apply` alone brings changes."""
+        """`path`: the operator's file, read again on `reload`; none: `apply` alone brings changes.
+        `outer`: limits and verdicts of the fleet, asked before the gaps."""
         self._path, self._counters, self._log, self._gate = path, counters, log, gate
         self._config = config
         self.directory = Directory()
@@ -112,6 +116,8 @@
         self._generations: list[Generation] = []
         self._front: Front | None = None
         self._screen: GapScreen | None = None  # number gapping, once gaps are configured
+        self._outer = outer
+        self.owns: Owner | None = None  # over a fleet: whose turn a gap's slot is
 
     def _screen_gaps(self, config: Enum) -> str | None:
         """Sets, changes and lifts gaps as `config` says; if one makes no sense now, changes nothing and
@@ -121,15 +127,17 @@
         from harepick.gapping.gaps import GapError
         from harepick.gapping.screen import GapScreen
 
-        screen = self._screen or GapScreen(config.settings.zone, config.seed or 0)
+        screen = self._screen or GapScreen(config.settings.zone, config.seed or 0, self.owns)
         try:
             told = screen.apply(config.gaps, time.time(), [config.call_class])
         except GapError as error:
             return f"setting gap: {error}"
         if self._screen is None:
             self._screen = screen
+            if self._outer:
+                self._outer.gaps = screen
             for generation in self._generations:
-                generation.engine.screen = screen
+                generation.engine.screen = self.screen
         if any(told.values()):
             self._log.event("gaps", **told, now=len(screen))
         return None
@@ -153,6 +161,15 @@
         """Servers that fresh look-ups avoid now, as the latest core sees them."""
         return self._generations[-1].engine.avoided if self._generations else frozenset()
 
+    @property
+    def screen(self) -> Screen | None:
+        """What the core asks before it books a call."""
+        return self._outer or self._screen
+
+    @property
+    def gaps(self) -> GapScreen | None:
+        return self._screen
+
     def reload(self) -> None:
         """Reads the file again; a faulty one changes nothing."""
         if self._path is None:
@@ -213,7 +230,7 @@
         except OSError as error:
             raise SettingsError(f"setting enum.listen: {config.listen}: {error.strerror}") from None
         async with listener, sock, anyio.create_task_group() as tasks:
-            first = Generation(config, self.directory, counters, log, self._gate, self._screen)
+            first = Generation(config, self.directory, counters, log, self._gate, self.screen)
             self._generations.append(first)
             await tasks.start(first.run, change)
             front = self._front = Front(self._serving(config, first), counters, log)
@@ -243,7 +260,7 @@
                 await anyio.sleep(0.05)
             config, self._wanted = self._wanted or self._config, None
             generation = Generation(
-                config, self.directory, self._counters, self._log, self._gate, self._screen
+                config, self.directory, self._counters, self._log, self._gate, self.screen
             )
             await tasks.start(generation.run, i.ServerList(i.ListKind.ALL, self.directory.entries()))
             old = self._generations[-1]
@@ -277,5 +294,5 @@
 
 
 def _core(config: Enum) -> Enum:
-    """What a new generation is begun for: all but upstreams, routes, gaps and the plan of maintenance."""
-    return replace(config, upstreams=(), routes=(), gaps=(), maintenance=None)
+    """What a new generation is begun for: all but upstreams, routes, and what the fleet's parts read."""
+    return replace(config, upstreams=(), routes=(), gaps=(), maintenance=None, limits=(), verdicts=None)
--- a/harepick/fleet/checks.py
+++ b/harepick/fleet/checks.py
@@ -56,6 +56,11 @@
     return [event for event in events if event.event in names]
 
 
+def _quantile(ordered: Sequence[float], share: float) -> float:
+    """Of values in order, in ms; 0 for none."""
+    return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 1) if ordered else 0.0
+
+
 def _acks(events: Sequence[Event]) -> tuple[list[float], list[Event]]:
     """Acknowledgements as they raised the latest revision, and their times."""
     kept: list[Event] = []
@@ -281,8 +286,8 @@
         "fresh_calls_to_out_servers": fresh,
         "stale_orders": stale,
         "orders_out": len(took),
-        "time_to_out_ms_p50": round(took[len(took) // 2], 1) if took else 0.0,
-        "time_to_out_ms_p99": round(took[min(len(took) - 1, int(0.99 * len(took)))], 1) if took else 0.0,
+        "time_to_out_ms_p50": _quantile(took, 0.5),
+        "time_to_out_ms_p99": _quantile(took, 0.99),
     }
     return finding
 
@@ -310,6 +315,40 @@
     return finding
 
 
+def verdict_staleness(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """From when the first instance is told of a verdict on a server until it is lifted, nothing leaves any
+    instance for that server later than `bound_s` after the beginning."""
+    finding = Finding()
+    began: dict[int, Event] = {}
+    ended: dict[int, float] = {}
+    for event in _of(events, "verdict", "verdict_lifted"):
+        if event.event == "verdict" and event["kind"] != "blocked":
+            began.setdefault(event["verdict"], event)
+        elif event.event == "verdict_lifted":
+            ended.setdefault(event["verdict"], event.mono)
+    left: dict[str, list[Event]] = defaultdict(list)
+    for event in _of(events, "left"):
+        left[str(event["server"]).partition("@")[0]].append(event)
+    stale = []
+    for number, verdict in began.items():
+        until = ended.get(number, float("inf"))
+        rows = left[verdict["subject"]]
+        first = bisect.bisect_right([row.mono for row in rows], verdict.mono)
+        after = [row for row in rows[first:] if row.mono < until]
+        late = (after[-1].mono - verdict.mono) * 1000 if after else 0.0
+        stale.append(late)
+        if late > arguments["bound_s"] * 1000:
+            why = f"{after[-1].name} sent to {verdict['subject']} {late:.0f} ms after the verdict on it"
+            finding.against("verdict_staleness", why, verdict, after[-1])
+    stale.sort()
+    finding.figures = {
+        "verdicts": len(stale),
+        "verdict_stale_ms_p99": _quantile(stale, 0.99),
+        "verdict_stale_ms_max": _quantile(stale, 1.0),
+    }
+    return finding
+
+
 CHECKS: dict[str, Check] = {
     "no_stale_act": Check(no_stale_act),
     "no_stale_arrival": Check(no_stale_arrival),
@@ -321,6 +360,7 @@
     "most_out": Check(most_out, ("servers", "controllers")),
     "no_fresh_to_out": Check(no_fresh_to_out),
     "admissions": Check(admissions, ("per_s", "window_s", "epsilon")),
+    "verdict_staleness": Check(verdict_staleness, ("bound_s",)),
 }
 
 
--- a/harepick/fleet/child.py
+++ b/harepick/fleet/child.py
@@ -43,9 +43,17 @@
     Replica.leases = leases  # type: ignore[method-assign]
 
 
+def _borrow() -> None:
+    """Breaks: an instance spends only while it holds its lease, and only what it holds."""
+    from harepick.fleet.limits.purse import Bucket
+
+    Bucket.has = lambda self, now: True  # type: ignore[method-assign]
+
+
 DOUBLES: dict[str, Callable[[], None]] = {
     "stale-lease": _stale_lease,
     "skip-confirmation": _skip_confirmation,
+    "borrow": _borrow,
 }
 
 
--- /dev/null
+++ b/harepick/fleet/limits/purse.py
@@ -0,0 +1,183 @@
+"""What one instance spends of its shares, and the demand that it sees. Pure: time is an argument.
+
+A token bucket for each limit, filled at the instance's share; a call needs a token of every limit that it
+meets, and takes none if one is missing.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from functools import lru_cache
+from math import exp
+
+MEMORY = 1.0  # seconds over which demand is averaged
+WAIT = 1.0  # seconds that a caller stays away if the share tells nothing better
+MOST_WAIT = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """One `[[limit]]`: what it counts, and how much of it may be."""
+
+    id: str
+    per_s: float
+    burst_s: float = 1.0  # what an unused share may save up, in seconds of it
+    prefixes: tuple[str, ...] = ()  # of called numbers; a district is a list of them
+    callers: tuple[str, ...] = ()  # networks of caller addresses, all of them counted together
+    call_class: str = ""
+    reason: str = ""
+
+    def meets(self, called: str, class_name: str, source: str) -> bool:
+        """Whether a call counts; every criterion that is given has to."""
+        if self.call_class and class_name != self.call_class:
+            return False
+        if self.prefixes and not called.startswith(self.prefixes):
+            return False
+        return not self.callers or within(source, self.callers)
+
+
+@lru_cache(maxsize=4096)
+def within(address: str, networks: tuple[str, ...]) -> bool:
+    """Whether that address is in one of the networks; no address is in none."""
+    try:
+        where = ipaddress.ip_address(address)
+    except ValueError:
+        return False
+    return any(where in ipaddress.ip_network(network) for network in networks)
+
+
+@dataclass(slots=True)
+class Bucket:
+    """Tokens of one limit. Begins empty, whatever its share."""
+
+    burst_s: float
+    share: float = 0.0  # tokens a second
+    tokens: float = 0.0
+    at: float = field(default=float("-inf"))
+
+    def _fill(self, now: float) -> None:
+        if now > self.at:
+            if self.share > 0 and self.at > float("-inf"):
+                self.tokens = min(self.cap, self.tokens + self.share * (now - self.at))
+            self.at = now
+
+    @property
+    def cap(self) -> float:
+        """A share, however small, may save up for one call."""
+        return max(1.0, self.share * self.burst_s) if self.share > 0 else 0.0
+
+    def set(self, share: float, now: float) -> None:
+        """From now on; what a larger share would have saved up is not made up for."""
+        self._fill(now)
+        self.share = share
+        self.tokens = min(self.tokens, self.cap)
+
+    def has(self, now: float) -> bool:
+        self._fill(now)
+        return self.tokens >= 1.0
+
+    def take(self) -> None:
+        self.tokens -= 1.0
+
+    def wait(self) -> float:
+        """Seconds until the next token."""
+        return min(MOST_WAIT, (1.0 - self.tokens) / self.share) if self.share > 0 else WAIT
+
+
+@dataclass(slots=True)
+class _Use:
+    """One limit, and what came of it; counts since the start."""
+
+    limit: Limit
+    bucket: Bucket
+    offered: int = 0
+    passed: int = 0
+    refused: int = 0
+    _rate: float = 0.0
+    _seen: int = 0
+    _since: float = field(default=float("-inf"))
+
+    def demand(self, now: float) -> float:
+        """Calls offered a second, lately; to be asked every now and then."""
+        if self._since == float("-inf"):
+            self._since, self._seen = now, self.offered
+        elif (passed := now - self._since) > 0.1:
+            rate = (self.offered - self._seen) / passed
+            self._rate += (rate - self._rate) * (1 - exp(-passed / MEMORY))
+            self._since, self._seen = now, self.offered
+        return self._rate
+
+
+class Purse:
+    """Owns the buckets of one instance."""
+
+    def __init__(self) -> None:
+        self._uses: dict[str, _Use] = {}
+
+    def __len__(self) -> int:
+        return len(self._uses)
+
+    def configure(self, limits: Iterable[Limit]) -> None:
+        """The limits of a configuration; one that stays keeps its tokens and counts."""
+        uses: dict[str, _Use] = {}
+        for limit in limits:
+            use = self._uses.get(limit.id)
+            if use is None:
+                use = _Use(limit, Bucket(limit.burst_s))
+            use.limit, use.bucket.burst_s = limit, limit.burst_s
+            use.bucket.tokens = min(use.bucket.tokens, use.bucket.cap)
+            uses[limit.id] = use
+        self._uses = uses
+
+    def hold(self, shares: Mapping[str, float], now: float) -> None:
+        """This instance's shares, by limit; of one that is not named it holds nothing."""
+        for name, use in self._uses.items():
+            use.bucket.set(shares.get(name, 0.0), now)
+
+    def met(self, called: str, class_name: str, source: str) -> list[str]:
+        return [n for n, use in self._uses.items() if use.limit.meets(called, class_name, source)]
+
+    def spend(
+        self, called: str, class_name: str, source: str, now: float
+    ) -> tuple[float | None, Sequence[str]]:
+        """None and the limits that the call was counted against, or the seconds to stay away and the limits
+        that it met. It takes a token of each, or none."""
+        met = [use for use in self._uses.values() if use.limit.meets(called, class_name, source)]
+        missing = []
+        for use in met:
+            use.offered += 1
+            if not use.bucket.has(now):
+                missing.append(use)
+        names = [use.limit.id for use in met]
+        for use in missing:
+            use.refused += 1
+        if missing:
+            return max(use.bucket.wait() for use in missing), names
+        for use in met:
+            use.bucket.take()
+            use.passed += 1
+        return None, names
+
+    def give_back(self, names: Iterable[str]) -> None:
+        """A call that was counted and then refused by something else."""
+        for name in names:
+            if use := self._uses.get(name):
+                use.bucket.tokens = min(use.bucket.cap, use.bucket.tokens + 1.0)
+                use.passed -= 1
+
+    def demands(self, now: float) -> dict[str, float]:
+        return {name: use.demand(now) for name, use in self._uses.items()}
+
+    def figures(self) -> dict[str, dict[str, float]]:
+        return {
+            name: {
+                "per_s": use.limit.per_s,
+                "share": use.bucket.share,
+                "offered": use.offered,
+                "passed": use.passed,
+                "refused": use.refused,
+            }
+            for name, use in self._uses.items()
+        }
--- /dev/null
+++ b/harepick/fleet/limits/screen.py
@@ -0,0 +1,40 @@
+"""What the core asks before a call is booked: verdicts on its caller, limits, then the gaps if there are any.
+
+A call that a gap refuses takes no token of a limit, and one that a limit refuses takes no turn of a gap.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from harepick.core.words import Screen
+from harepick.fleet.limits.purse import WAIT, Purse, within
+
+
+class FleetScreen:
+    """`harepick.core.words.Screen`; one task uses it, the core's."""
+
+    def __init__(self, purse: Purse, clock: Callable[[], float], admitted: Callable[[str], None]) -> None:
+        """`clock`: seconds of which the rate counts; `admitted` hears of each limit that a call counted
+        against."""
+        self.purse = purse
+        self.gaps: Screen | None = None
+        self.blocked: tuple[str, ...] = ()  # networks of callers under a verdict
+        self.turned_away = 0  # calls of theirs
+        self._clock, self._admitted = clock, admitted
+
+    def refuses(self, called: str, class_name: str, now: float, source: str = "") -> float | None:
+        if self.blocked and within(source, self.blocked):
+            self.turned_away += 1
+            return WAIT
+        if not self.purse:
+            return self.gaps.refuses(called, class_name, now, source) if self.gaps else None
+        wait, names = self.purse.spend(called, class_name, source, self._clock())
+        if wait is not None:
+            return wait
+        if self.gaps and (wait := self.gaps.refuses(called, class_name, now, source)) is not None:
+            self.purse.give_back(names)
+            return wait
+        for name in names:
+            self._admitted(name)
+        return None
--- /dev/null
+++ b/harepick/fleet/limits/steward.py
@@ -0,0 +1,177 @@
+"""The steward of limits and verdicts: while this instance leads it proposes splits, settles them, and lifts
+verdicts whose time is over; always, it tells its demand, and judges servers if the configuration asks for it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+
+from harepick.counters import Counters
+from harepick.fleet.limits.purse import Limit, Purse
+from harepick.fleet.limits.rule import Sight, decide
+from harepick.fleet.limits.settings import VerdictPlan
+from harepick.fleet.limits.shares import Split
+from harepick.fleet.limits.verdicts import FAILED, Judge, Lift
+from harepick.log import Log
+from harepick.store.machine import Done, Envelope, Shared
+from harepick.store.raft.core import BusyError, NotLeaderError
+from harepick.store.replica import Replica, StoreUnavailableError, clock
+
+EVERY = 0.1  # seconds between two looks, if nothing wakes it
+REST = 0.02
+WITHIN = 5.0  # for one step to be committed
+AGAIN = 1.0  # seconds between two verdicts of this instance on one server
+
+
+@dataclass(frozen=True, slots=True)
+class Facts:
+    """What the front knows, at one moment."""
+
+    revision: int
+    limits: tuple[Limit, ...]
+    plan: VerdictPlan
+    avoided: frozenset[str]  # servers that the module avoids now, by name
+
+
+class LimitSteward:
+    def __init__(
+        self,
+        replica: Replica,
+        purse: Purse,
+        facts: Callable[[], Facts | None],
+        counters: Counters,
+        log: Log,
+        told: Callable[[Judge], None] = lambda judge: None,
+    ) -> None:
+        """`facts` gives None as long as there is no configuration; `told` hears of each verdict before it is
+        proposed."""
+        self._replica, self._purse, self._facts = replica, purse, facts
+        self._counters, self._log, self._told = counters, log, told
+        self._me = replica.settings.replica
+        self._since: dict[str, float] = {}  # server -> avoided here since
+        self._judged: dict[str, float] = {}  # server -> when this instance judged it last
+        self._seen: dict[tuple[int, int], float] = {}  # verdict and its version -> when first seen leading
+
+    async def run(self) -> None:
+        """Until cancelled."""
+        while True:
+            self._replica.node.demand = self._purse.demands(clock())
+            try:
+                self._judge()
+                await self._turn()
+            except (NotLeaderError, BusyError, StoreUnavailableError):
+                self._counters.add("limits.not_proposed")  # another leads, or comes to
+            await anyio.sleep(REST)
+            await self._replica.changed(EVERY)
+
+    async def _turn(self) -> None:
+        facts, leases = self._facts(), self._replica.leases()
+        if facts is None or leases is None:
+            self._seen.clear()
+            return
+        machine = self._replica.node.machine
+        live, waits = leases
+        sight = Sight(
+            name=self._me,
+            revision=facts.revision,
+            live=live & frozenset(self._replica.node.raft.membership.voters),
+            demands=self._replica.demands(),
+            waits=waits,
+        )
+        budgets = {limit.id: limit.per_s for limit in facts.limits}
+        step = decide(machine.shares, budgets, sight) or self._over()
+        if step is None:
+            return
+        answer = await self._replica.change(Envelope("", 0, step), WITHIN)
+        if not isinstance(answer, Shared):
+            self._counters.add("limits.refused_steps")
+            self._log.event("limit_step_refused", why=str(answer))
+        elif isinstance(step, Split):
+            self._counters.add("limits.splits")
+            shares = {name: round(share, 3) for name, share in step.shares.items()}
+            self._log.event("limit_split", limit=step.limit, budget=step.budget, shares=shares)
+        elif isinstance(step, Lift):
+            self._counters.add("limits.lifts")
+
+    def _over(self) -> Lift | None:
+        """The next verdict whose time is over, counted from when this leader first saw it."""
+        now = clock()
+        held = self._replica.node.machine.verdicts.all
+        self._seen = {(v.id, v.version): self._seen.get((v.id, v.version), now) for v in held}
+        for verdict in held:
+            if now - self._seen[verdict.id, verdict.version] >= verdict.ttl:
+                return Lift(verdict.id, f"{self._me}: its time is over")
+        return None
+
+    def _judge(self) -> None:
+        """A server that the module here has avoided for so long has failed, for all."""
+        facts, now = self._facts(), clock()
+        avoided = facts.avoided if facts and facts.plan.failed_after > 0 else frozenset()
+        self._since = {name: self._since.get(name, now) for name in avoided}
+        if facts is None or not self._replica.may_act():
+            return
+        for name, since in self._since.items():
+            long, last = now - since, self._judged.get(name, float("-inf"))
+            if long >= facts.plan.failed_after and now - last >= min(AGAIN, facts.plan.ttl / 2):
+                self._judged[name] = now
+                self._counters.add("limits.judged")
+                judge = Judge(FAILED, name, self._me, long, facts.plan.ttl, f"avoided for {long:.1f} s")
+                self._told(judge)
+                self._replica.suggest(Envelope("", 0, judge))
+
+    # What can be seen and asked
+
+    def status(self) -> dict[str, Any]:
+        """Limits and verdicts as last applied here, with what this instance spent of them."""
+        machine = self._replica.node.machine
+        facts = self._facts()
+        demands: Mapping[str, Mapping[str, float]] = self._replica.demands() if self._leads() else {}
+        here = self._purse.figures()
+        limits = []
+        for limit in facts.limits if facts else ():
+            holding = machine.shares.get(limit.id)
+            limits.append(
+                {
+                    "id": limit.id,
+                    "per_s": limit.per_s,
+                    "burst_s": limit.burst_s,
+                    "reason": limit.reason,
+                    "shares": holding.shares,
+                    "owed": holding.owed,
+                    "free": holding.free if holding.budget else limit.per_s,
+                    "demand": {name: round(row.get(limit.id, 0.0), 3) for name, row in demands.items()},
+                    "here": here.get(limit.id, {}),
+                }
+            )
+        verdicts = [
+            {
+                "verdict": v.id,
+                "kind": v.kind,
+                "subject": v.subject,
+                "origin": v.origin,
+                "evidence_s": round(v.evidence, 3),
+                "ttl_s": v.ttl,
+                "why": v.why,
+                "version": v.version,
+            }
+            for v in machine.verdicts.all
+        ]
+        return {
+            "instance": self._me,
+            "current": self._replica.may_act(),
+            "limits": limits,
+            "verdicts": verdicts,
+        }
+
+    def _leads(self) -> bool:
+        return self._replica.leases() is not None
+
+    async def judge(self, judge: Judge, session: str, number: int, within: float) -> int:
+        """An operator's verdict; returns once all that may act honour it. Raises as `Replica.change`."""
+        self._told(judge)
+        answer = await self._replica.change(Envelope(session, number, judge), within)
+        return answer.revision if isinstance(answer, Done) else 0
--- a/harepick/fleet/load.py
+++ b/harepick/fleet/load.py
@@ -40,6 +40,7 @@
 @dataclass(slots=True)
 class _Sent:
     at: float
+    prefix: str
     answers: int = 0
     rcode: int = -1
     took: float = 0.0
@@ -56,11 +57,11 @@
         rng = Random(seed * 7919 + place)
         prefixes = [prefix for prefix, _ in load.numbers]
         weights = [weight for _, weight in load.numbers]
-        self._queries = []
+        self._queries: list[tuple[str, bytes]] = []  # prefix of the number, query
         for _ in range(QUERIES):
             prefix = rng.choices(prefixes, weights)[0]
             rest = "".join(rng.choice("0123456789") for _ in range(max(0, DIGITS + 1 - len(prefix))))
-            self._queries.append(query_bytes(prefix + rest))
+            self._queries.append((prefix, query_bytes(prefix + rest)))
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
@@ -89,9 +90,10 @@
 
     def _ask(self) -> None:
         ident = self._count & 0xFFFF
-        data = ident.to_bytes(2, "big") + self._queries[self._count % QUERIES]
+        prefix, query = self._queries[self._count % QUERIES]
+        data = ident.to_bytes(2, "big") + query
         self._count += 1
-        self._open[ident] = _Sent(time.monotonic())
+        self._open[ident] = _Sent(time.monotonic(), prefix)
         with suppress(OSError):  # nobody listens there for now
             self._sock.sendto(data, self._to)
 
@@ -119,6 +121,7 @@
                 "lookup",
                 mono=sent.at,
                 instance=self.name,
+                prefix=sent.prefix,
                 answers=sent.answers,
                 rcode=sent.rcode,
                 took_ms=round(sent.took * 1000, 3),
--- a/harepick/fleet/scenario.py
+++ b/harepick/fleet/scenario.py
@@ -47,10 +47,12 @@
     skew: tuple[float, ...] = ()  # weight of each instance; evenly if empty
     numbers: tuple[tuple[str, float], ...] = (("+9411", 1.0),)  # prefix of called numbers -> weight
     bursts: tuple[Burst, ...] = ()
+    shifts: tuple[tuple[float, tuple[float, ...]], ...] = ()  # from when on, another skew
 
     def at(self, t: float, instance: int, instances: int) -> float:
         """Look-ups a second offered to that instance at `t`."""
-        weights = self.skew or (1.0,) * instances
+        skew = next((skew for since, skew in reversed(self.shifts) if t >= since), self.skew)
+        weights = skew or (1.0,) * instances
         share = weights[instance] / sum(weights)
         times = max([b.times for b in self.bursts if b.at <= t < b.at + b.length], default=1.0)
         return self.rate * share * times
@@ -147,10 +149,10 @@
     return table
 
 
-def _rows(table: Mapping[str, Any], key: str) -> list[Any]:
+def _rows(table: Mapping[str, Any], key: str, path: str = "") -> list[Any]:
     rows = table.get(key, [])
     if not isinstance(rows, list):
-        raise _bad(key, f"makes no sense: {rows!r}")
+        raise _bad(f"{path}{key}", f"makes no sense: {rows!r}")
     return rows
 
 
@@ -203,13 +205,13 @@
 
 
 def _load(table: Any, instances: int) -> Load:
-    _known(table, "load", {"rate", "skew", "numbers", "burst"})
-    skew = table.get("skew", [])
-    good = isinstance(skew, list) and all(
-        isinstance(w, int | float) and not isinstance(w, bool) and w >= 0 for w in skew
-    )
-    if not good or (skew and (len(skew) != instances or sum(skew) <= 0)):
-        raise _bad("load.skew", f"is not one weight for each instance: {skew!r}")
+    _known(table, "load", {"rate", "skew", "numbers", "burst", "shift"})
+    skew = _skew(table.get("skew", []), "load.skew", instances)
+    shifts = []
+    for n, row in enumerate(_rows(table, "shift", "load.")):
+        _known(row, f"load.shift[{n}]", {"at", "skew"})
+        at = _number(row, "at", f"load.shift[{n}].", -1.0, 0.0, MOST_SECONDS)
+        shifts.append((at, _skew(row.get("skew"), f"load.shift[{n}].skew", instances)))
     numbers = table.get("numbers", {"+9411": 1.0})
     if not isinstance(numbers, Mapping) or not numbers:
         raise _bad("load.numbers", f"is not a weight for each prefix: {numbers!r}")
@@ -218,10 +220,7 @@
             raise _bad(f"load.numbers.{prefix}", "is no prefix of a number: + and up to 11 digits")
         _number(numbers, prefix, "load.numbers.", 1.0, 0.0, 1e6)
     bursts = []
-    rows = table.get("burst", [])
-    if not isinstance(rows, list):
-        raise _bad("load.burst", f"makes no sense: {rows!r}")
-    for n, row in enumerate(rows):
+    for n, row in enumerate(_rows(table, "burst", "load.")):
         path = f"load.burst[{n}]"
         _known(row, path, {"at", "for_s", "times"})
         bursts.append(
@@ -233,10 +232,20 @@
         )
     return Load(
         _number(table, "rate", "load.", 60.0, 0.0, MOST_RATE),
-        tuple(float(w) for w in skew),
+        skew,
         tuple((prefix, float(weight)) for prefix, weight in numbers.items()),
         tuple(bursts),
+        tuple(sorted(shifts)),
+    )
+
+
+def _skew(weights: Any, path: str, instances: int) -> tuple[float, ...]:
+    good = isinstance(weights, list) and all(
+        isinstance(w, int | float) and not isinstance(w, bool) and w >= 0 for w in weights
     )
+    if not good or (weights and (len(weights) != instances or sum(weights) <= 0)):
+        raise _bad(path, f"is not one weight for each instance: {weights!r}")
+    return tuple(float(w) for w in weights)
 
 
 def _checks(table: Any) -> dict[str, Mapping[str, Any]]:
--- a/harepick/settings.py
+++ b/harepick/settings.py
@@ -91,6 +91,8 @@
     routes: tuple[Route, ...] = ()
     gaps: tuple[Any, ...] = ()  # `harepick.gapping.config.Row`s of `[[gap]]`
     maintenance: Any = None  # `harepick.fleet.maintenance.rule.Plan`; None: the defaults of one
+    limits: tuple[Any, ...] = ()  # `harepick.fleet.limits.purse.Limit`s of `[[limit]]`
+    verdicts: Any = None  # `harepick.fleet.limits.settings.VerdictPlan`; None: the defaults of one
 
 
 def _number(table: Mapping[str, Any], path: str, low: float, default: float | None = None) -> float:
@@ -287,6 +289,7 @@
 
 # The operator's file
 
+FLEET = ("maintenance", "limit", "verdicts")  # hold for all instances of a store, and need one
 KNOWN_KEYS = {
     "enum": {"listen", "suffix", "class", "deadline_ms", "edns_size", "tcp_clients", "tcp_idle_s", "seed"},
     "class": {"aim_ms", "worth", "late_share"},
@@ -315,8 +318,9 @@
     """The ENUM front as a TOML file sets it up; raises `SettingsError` naming the faulty key."""
     table = read_toml(path)
     table.pop("store", None)  # `harepick.store.settings` reads it, where it is installed
-    if "maintenance" in table:
-        raise SettingsError("setting maintenance belongs in the store's configuration")
+    for key in FLEET:
+        if key in table:
+            raise SettingsError(f"setting {key} belongs in the store's configuration")
     return read_enum(table)
 
 
@@ -346,7 +350,7 @@
 def read_enum(table: Mapping[str, Any]) -> Enum:
     """The ENUM front as a table sets it up; raises `SettingsError` naming the faulty key."""
     for section, value in table.items():
-        if section in ("gap", "maintenance"):  # their readers name the keys they know
+        if section in ("gap", *FLEET):  # their readers name the keys they know
             continue
         if section not in KNOWN_KEYS:
             raise SettingsError(f"setting {section} is not known")
@@ -402,9 +406,27 @@
         routes=_routes(table.get("route", []), {u.name for u in upstreams}),
         gaps=_gaps(table.get("gap"), "gap", "e164"),
         maintenance=_maintenance(table.get("maintenance"), {u.name for u in upstreams}),
+        limits=_limits(table.get("limit")),
+        verdicts=_verdicts(table.get("verdicts")),
     )
 
 
+def _limits(rows: Any) -> tuple[Any, ...]:
+    if rows is None:
+        return ()
+    from harepick.fleet.limits.settings import read_limits
+
+    return read_limits(rows)
+
+
+def _verdicts(table: Any) -> Any:
+    if table is None:
+        return None
+    from harepick.fleet.limits.settings import read_verdicts
+
+    return read_verdicts(table)
+
+
 def _maintenance(table: Any, servers: set[str]) -> Any:
     """What may be out for work at once; nothing of its reader is loaded without it."""
     if table is None:
--- a/harepick/store/attach.py
+++ b/harepick/store/attach.py
@@ -22,6 +22,14 @@
 from harepick.counters import Counters
 from harepick.directory import Row
 from harepick.enumdns.service import EnumFront, ready_servers, server_name
+from harepick.fleet.limits import Judge, Verdicts
+from harepick.fleet.limits.desk import LimitDesk
+from harepick.fleet.limits.purse import Purse
+from harepick.fleet.limits.screen import FleetScreen
+from harepick.fleet.limits.settings import VerdictPlan
+from harepick.fleet.limits.steward import Facts as LimitFacts
+from harepick.fleet.limits.steward import LimitSteward
+from harepick.fleet.limits.verdicts import BLOCKED, FAILED, OVERLOADED
 from harepick.fleet.maintenance import Orders
 from harepick.fleet.maintenance.desk import Desk
 from harepick.fleet.maintenance.orders import CONTROLLER, SERVER
@@ -30,10 +38,10 @@
 from harepick.log import Log
 from harepick.settings import OWN_KEYS, Address, Enum, SettingsError, address, read_shared, read_toml
 from harepick.store.disk.files import StorageError
-from harepick.store.machine import Conflict, Done, Envelope, Put, Revision, View, ViewRow
+from harepick.store.machine import Conflict, Done, Envelope, Machine, Put, Revision, View, ViewRow
 from harepick.store.operators import Operators
 from harepick.store.raft.core import BusyError, NotLeaderError
-from harepick.store.replica import Replica, StoreUnavailableError
+from harepick.store.replica import Replica, StoreUnavailableError, clock
 from harepick.store.settings import StoreSettings, read_store
 
 if TYPE_CHECKING:
@@ -70,9 +78,15 @@
         self._orders = 0  # version of the orders that is followed
         self._remembered = False
         nothing = replace(read_shared(NOTHING, self._own), upstreams=())
-        self.front = EnumFront(nothing, counters, log, gate=self)
+        self.purse = Purse()
+        self.screen = FleetScreen(self.purse, clock, self._admitted)
+        self.front = EnumFront(nothing, counters, log, gate=self, outer=self.screen)
         self.replica = Replica(settings, counters, log, self._adopt, self._follow)
         self.steward = Steward(self.replica, self._facts, counters, log)
+        self.limits = LimitSteward(self.replica, self.purse, self._limit_facts, counters, log, self._judging)
+        self._judged: frozenset[str] = frozenset()  # servers under a verdict, by name
+        self._verdicts = 0  # version of the list that is followed
+        self._holding: set[int] = set()  # numbers of those on it
         try:
             self.replica.open()
         except StorageError as error:
@@ -109,7 +123,11 @@
 
     def _adopt(self, revision: Revision) -> None:
         """From here on nothing leaves under an older one."""
-        self._config = read_shared(revision.text, self._own)
+        self._config = config = read_shared(revision.text, self._own)
+        self.purse.configure(config.limits)
+        shares = self.replica.node.machine.shares
+        me = self.settings.replica
+        self.purse.hold({limit.id: shares.share(limit.id, me) for limit in config.limits}, clock())
         self._revision = revision.number
         if not self._remembered:
             self._remembered = True
@@ -120,8 +138,32 @@
             self._history.note("adopted", revision=revision.number, index=revision.index)
         self._log.event("store_adopted", revision=revision.number, author=revision.author)
 
-    def _follow(self, orders: Orders) -> None:
-        """From here on nothing fresh leaves for a machine that is leaving or out."""
+    def _follow(self, machine: Machine) -> None:
+        """From here on nothing fresh leaves for a machine that is leaving or out, or against a verdict, and
+        no more is admitted than the shares."""
+        me = self.settings.replica
+        self.purse.hold({name: h.shares.get(me, 0.0) for name, h in machine.shares.limits.items()}, clock())
+        if machine.verdicts.version != self._verdicts:
+            self._follow_verdicts(machine.verdicts)
+        if machine.orders.version != self._orders:
+            self._follow_orders(machine.orders)
+
+    def _follow_verdicts(self, verdicts: Verdicts) -> None:
+        if self._history:
+            for verdict in verdicts.all:
+                if verdict.version > self._verdicts:
+                    self._history.note(
+                        "verdict", verdict=verdict.id, kind=verdict.kind, subject=verdict.subject
+                    )
+            for number in self._holding - {verdict.id for verdict in verdicts.all}:
+                self._history.note("verdict_lifted", verdict=number)
+        self._holding = {verdict.id for verdict in verdicts.all}
+        self._verdicts = verdicts.version
+        self._judged = verdicts.subjects(FAILED, OVERLOADED)
+        self.screen.blocked = tuple(sorted(verdicts.subjects(BLOCKED)))
+        self._take_effect()
+
+    def _follow_orders(self, orders: Orders) -> None:
         if self._history:
             for order in (*orders.open, *orders.ended):
                 if order.version > self._orders:
@@ -143,6 +185,9 @@
         if self._config is None:
             return
         config = with_barred(self._config, self._barred)
+        judged = with_barred(config, self._judged)
+        if ready_servers(judged):  # what one controller sees must not stop the fleet
+            config = judged
         self._allowed = ready_servers(config)
         self.front.apply(config)
 
@@ -160,6 +205,28 @@
             idle=self.front.idle,
         )
 
+    def _limit_facts(self) -> LimitFacts | None:
+        config = self._config
+        if config is None:
+            return None
+        avoided = self.front.avoided
+        ready = [u for u in config.upstreams if not u.draining and u.name not in self._barred | self._judged]
+        return LimitFacts(
+            revision=self._revision,
+            limits=config.limits,
+            plan=config.verdicts or VerdictPlan(),
+            avoided=frozenset(u.name for u in ready if server_name(u.name, u.address) in avoided),
+        )
+
+    def _admitted(self, limit: str) -> None:
+        if self._history:
+            self._history.note("admitted", limit=limit)
+
+    def _judging(self, judge: Judge) -> None:
+        self._log.event("verdict", kind=judge.kind, subject=judge.subject, why=judge.why)
+        if self._history:
+            self._history.note("judging", kind=judge.kind, subject=judge.subject)
+
     def _names(self) -> frozenset[str]:
         return frozenset(u.name for u in self._config.upstreams) if self._config else frozenset()
 
@@ -188,16 +255,18 @@
     ) -> None:
         async with anyio.create_task_group() as tasks:
             desk = Desk(self.replica, self.steward, self._names)
-            Operators(self.replica, self._counters, desk.methods)
+            limits = LimitDesk(self.replica, self.limits, self._names)
+            Operators(self.replica, self._counters, desk.methods | limits.methods)
             await tasks.start(self.replica.run)
             tasks.start_soon(self.steward.run)
+            tasks.start_soon(self.limits.run)
             tasks.start_soon(self._tell_view)
             if self._history:
                 tasks.start_soon(self._tell_history, self._history)
             if self._ops:  # off unless configured: not even loaded then
                 from harepick.ops import OpsListener
 
-                pages = {"/api/maintenance": self.steward.status}
+                pages = {"/api/maintenance": self.steward.status, "/api/limits": self.limits.status}
                 await tasks.start(OpsListener(self._ops, self, self._counters, self._log, pages).run)
                 tasks.start_soon(self._until_stopped, stop)
             if self._first is not None:
--- a/harepick/store/client.py
+++ b/harepick/store/client.py
@@ -21,7 +21,7 @@
 TRY = 3.0  # seconds for one replica to welcome us
 PAUSE = 0.1  # seconds between two rounds through the replicas
 AGAIN = ("not_leader", "busy", "lost", "unavailable")
-NUMBERED = ("set", "rollback", "maint_request", "maint_cancel", "maint_done")  # changes, each once
+NUMBERED = ("set", "rollback", "maint_request", "maint_cancel", "maint_done", "verdict_judge", "verdict_lift")
 BEATS = 12.0  # seconds without a sign of life after which a watch is begun anew
 
 
--- a/harepick/store/machine.py
+++ b/harepick/store/machine.py
@@ -11,6 +11,19 @@
 import msgspec
 from msgspec import Struct
 
+from harepick.fleet.limits import (
+    Judge,
+    Lift,
+    LimitCommand,
+    RefusedSplitError,
+    Settle,
+    Shares,
+    SharesState,
+    Split,
+    VerdictCommand,
+    Verdicts,
+    VerdictsState,
+)
 from harepick.fleet.maintenance import Move, OrderCommand, Orders, OrdersState, RefusedOrderError
 from harepick.gapping import Allotment, Ask
 
@@ -81,7 +94,7 @@
     at: float = 0.0
 
 
-Command = Put | RollBack | View | AskTurns | OrderCommand
+Command = Put | RollBack | View | AskTurns | OrderCommand | LimitCommand | VerdictCommand
 
 
 class Envelope(Struct, frozen=True):
@@ -129,7 +142,13 @@
     index: int
 
 
-Result = Done | Conflict | Refused | Granted | Ordered
+class Shared(Struct, frozen=True, tag="shared"):
+    """A step of the limits or verdicts took effect."""
+
+    index: int
+
+
+Result = Done | Conflict | Refused | Granted | Ordered | Shared
 
 
 class Revision(Struct, frozen=True):
@@ -157,6 +176,8 @@
         default_factory=list
     )  # `Allotment.dump`
     orders: OrdersState = msgspec.field(default_factory=OrdersState)
+    shares: SharesState = msgspec.field(default_factory=SharesState)
+    verdicts: VerdictsState = msgspec.field(default_factory=VerdictsState)
 
 
 _envelope = msgspec.msgpack.Decoder(Envelope)
@@ -187,6 +208,8 @@
         self.views: dict[str, View] = {}
         self.turns = Allotment()  # of gaps' slots over the fleet
         self.orders = Orders()  # machines out for work
+        self.shares = Shares()  # of limits
+        self.verdicts = Verdicts()
 
     @property
     def latest(self) -> Revision | None:
@@ -246,16 +269,47 @@
             case AskTurns(instance, gap, first, demand):
                 block = self.turns.apply(Ask(instance, gap, first, demand))
                 return Granted(gap, block.first, block.length, index)
+            case Split() | Settle():
+                return self._share(index, command)
+            case Judge() | Lift():
+                number, why = self.verdicts.apply(index, command)
+                if why:
+                    return Refused(why)
+                # `Done` is answered once all that may act honour it.
+                return Done(number, index) if isinstance(command, Judge) else Shared(index)
             case _:
-                latest = self.latest.number if self.latest else 0
-                if isinstance(command, Move) and command.revision != latest:
-                    return Refused(f"decided on revision {command.revision}, and {latest} is the latest")
-                try:
-                    order = self.orders.apply(index, command)
-                except RefusedOrderError as error:
-                    return Refused(str(error))
-                number, state = (order.id, order.state) if order else (0, "")
-                return Ordered(number, state, self.orders.version, index)
+                return self._order(index, command)
+
+    def _stale(self, revision: int) -> Refused | None:
+        """A step that was decided on another configuration than the latest."""
+        latest = self.latest.number if self.latest else 0
+        if revision == latest:
+            return None
+        return Refused(f"decided on revision {revision}, and {latest} is the latest")
+
+    def _order(self, index: int, command: OrderCommand) -> Result:
+        if isinstance(command, Move) and (stale := self._stale(command.revision)):
+            return stale
+        try:
+            order = self.orders.apply(index, command)
+        except RefusedOrderError as error:
+            return Refused(str(error))
+        number, state = (order.id, order.state) if order else (0, "")
+        return Ordered(number, state, self.orders.version, index)
+
+    def _share(self, index: int, command: LimitCommand) -> Result:
+        if isinstance(command, Split) and (stale := self._stale(command.revision)):
+            return stale
+        try:
+            self.shares.apply(index, command)
+        except RefusedSplitError as error:
+            return Refused(str(error))
+        return Shared(index)
+
+    @property
+    def news(self) -> tuple[int, int, int]:
+        """Versions of what instances have to follow at once: orders, shares and verdicts."""
+        return (self.orders.version, self.shares.version, self.verdicts.version)
 
     def _put(self, index: int, text: str, expect: int | None, author: str, note: str, at: float) -> Result:
         latest = self.latest.number if self.latest else 0
@@ -282,6 +336,8 @@
             self.views,
             self.turns.dump(),
             self.orders.dump(),
+            self.shares.dump(),
+            self.verdicts.dump(),
         )
         return bytes([FORMAT]) + msgspec.msgpack.encode(state)
 
@@ -301,3 +357,5 @@
         self.turns = Allotment()
         self.turns.load(state.turns)
         self.orders = Orders(state.orders)
+        self.shares = Shares(state.shares)
+        self.verdicts = Verdicts(state.verdicts)
--- a/harepick/store/node.py
+++ b/harepick/store/node.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
 
 from msgspec import Struct
 
-from harepick.fleet.maintenance import Orders
 from harepick.store.fence import LEASE, Grants, Lease
 from harepick.store.machine import (
     Done,
@@ -52,13 +51,19 @@
     index: int
 
 
+class Demand(Struct, frozen=True, tag="m", array_like=True):
+    """Calls offered a second here, by limit; the leader splits limits by it."""
+
+    rows: dict[str, float]
+
+
 class Propose(Struct, frozen=True, tag="p", array_like=True):
     """A command for the leader that nobody waits for."""
 
     data: bytes
 
 
-PeerMessage = Message | Ask | Grant | Adopted | Propose
+PeerMessage = Message | Ask | Grant | Adopted | Propose | Demand
 
 
 class Lost(Struct, frozen=True):
@@ -117,12 +122,12 @@
         *,
         lease: float = LEASE,
         adopt: Callable[[Revision], None] = lambda revision: None,
-        follow: Callable[[Orders], None] = lambda orders: None,
+        follow: Callable[[Machine], None] = lambda machine: None,
         snapshot_every: int = SNAPSHOT_EVERY,
         raft: type[Raft] = Raft,
     ) -> None:
         """`adopt` is called in the moment a revision takes effect: on return, nothing older is acted on.
-        `follow` likewise for the orders of machines that are out for work.
+        `follow` likewise for orders of machines out for work, shares of limits, and verdicts.
 
         Raises `FormatError` for a state of another version."""
         self.name = name
@@ -135,7 +140,9 @@
         self.stopped = ""  # why it takes part in nothing any more
         self._adopt, self._follow = adopt, follow
         self._revision = 0  # adopted last
-        self._orders = 0  # version of the orders that is followed
+        self._news = (0, 0, 0)  # versions of the orders, shares and verdicts that are followed
+        self.demand: Mapping[str, float] = {}  # by limit, calls offered a second; told with each question
+        self.demands: dict[str, tuple[float, Mapping[str, float]]] = {}  # instance -> when heard, its demand
         self._snapshot_every = snapshot_every
         self._snapshotting = False
         self._changes: dict[int, _Change | _Membership] = {}
@@ -176,6 +183,9 @@
                 self.lease.granted(number, index)
             case Adopted(index):
                 self.grants.adopted(sender, index)
+            case Demand(rows):
+                if self.raft.membership.get(sender):
+                    self.demands[sender] = (now, rows)
             case Propose(data):
                 if self.raft.role is Role.LEADER:
                     with suppress(BusyError):  # nobody waits for it; it comes again
@@ -272,9 +282,12 @@
         self._next_ask = now + self.lease.length * RENEW
         leader = self.raft.leader
         if leader == self.name and self.raft.role is Role.LEADER:
+            self.demands[self.name] = (now, self.demand)
             self._asked(self.name, self.lease.ask(now), self.machine.applied, now)
         elif leader:
             self._out.append((leader, Ask(self.lease.ask(now), self.machine.applied)))
+            if self.demand:
+                self._out.append((leader, Demand(dict(self.demand))))
         else:
             self._next_ask = now  # with the first tick that knows a leader
 
@@ -372,15 +385,15 @@
             self._answers.append((change.waiter, result))
 
     def _after_apply(self) -> None:
-        """A new revision or new orders take effect here, and the leader hears of it."""
-        latest, orders = self.machine.latest, self.machine.orders
+        """A new revision, new orders, shares or verdicts take effect here, and the leader hears of it."""
+        latest, versions = self.machine.latest, self.machine.news
         news = False
         if latest and latest.number != self._revision:
             self._revision, news = latest.number, True
             self._adopt(latest)
-        if orders.version != self._orders:
-            self._orders, news = orders.version, True
-            self._follow(orders)
+        if versions != self._news:
+            self._news, news = versions, True
+            self._follow(self.machine)
         if news and self.raft.leader and self.raft.leader != self.name:
             self._out.append((self.raft.leader, Adopted(self.machine.applied)))
         self.lease.applied(self.machine.applied)
--- a/harepick/store/replica.py
+++ b/harepick/store/replica.py
@@ -10,7 +10,7 @@
 import secrets
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 from random import Random
 from typing import Any
@@ -20,12 +20,11 @@
 from anyio.to_thread import run_sync
 
 from harepick.counters import Counters
-from harepick.fleet.maintenance import Orders
 from harepick.log import Log
 from harepick.settings import SettingsError
 from harepick.store.disk.files import OsFiles, StorageError
 from harepick.store.disk.storage import Identity, Recovered, Storage, create, read_identity
-from harepick.store.machine import Envelope, FormatError, Revision
+from harepick.store.machine import Envelope, FormatError, Machine, Revision
 from harepick.store.node import Answer, Lost, Node, PeerMessage
 from harepick.store.raft.core import NotLeaderError, Role, Writes
 from harepick.store.raft.messages import Membership, Snapshot
@@ -33,6 +32,7 @@
 from harepick.store.transport import Transport
 
 TICK = 0.02  # seconds
+DEMAND_HOLDS = 2.0  # seconds after which an instance's demand is not counted any more
 INBOX = 16_384  # inputs that wait; what finds it full is dropped, as a network would
 TURN = 256  # inputs in one turn
 STOPPED_COME_BACK = 5.0  # seconds that callers of a stopped replica are told to stay away
@@ -91,7 +91,7 @@
         counters: Counters,
         log: Log,
         adopt: Callable[[Revision], None] = lambda revision: None,
-        follow: Callable[[Orders], None] = lambda orders: None,
+        follow: Callable[[Machine], None] = lambda machine: None,
     ) -> None:
         self.settings = settings
         self._counters, self._log, self._adopt = counters, log, adopt
@@ -247,8 +247,8 @@
             return
         self.notify()
 
-    def _followed(self, orders: Orders) -> None:
-        self._follow(orders)
+    def _followed(self, machine: Machine) -> None:
+        self._follow(machine)
         self.notify()
 
     # Inputs
@@ -388,6 +388,11 @@
             return None
         return frozenset(grants.holders(clock())), lambda index: grants.waits_for(index, clock())
 
+    def demands(self) -> dict[str, Mapping[str, float]]:
+        """What instances told of their demand lately, by limit; this one's own too while it leads."""
+        now = clock()
+        return {name: rows for name, (at, rows) in self.node.demands.items() if now - at < DEMAND_HOLDS}
+
     def lease_left(self) -> float:
         """Seconds for which this instance may still act, by its own clock."""
         return self.node.lease.left(clock())
--- /dev/null
+++ b/tests/test_fleet_limits.py
@@ -0,0 +1,279 @@
+"""Limits and verdicts of the whole fleet: shares, their rule, the purse and the list, each without I/O."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from harepick.fleet.limits.purse import Bucket, Limit, Purse, within
+from harepick.fleet.limits.rule import RESERVE, Sight, decide, targets
+from harepick.fleet.limits.screen import FleetScreen
+from harepick.fleet.limits.shares import RefusedSplitError, Settle, Shares, Split
+from harepick.fleet.limits.verdicts import BLOCKED, FAILED, Judge, Lift, Verdicts
+from harepick.settings import SettingsError, read_operator, read_shared
+from harepick.store.machine import Envelope, Machine, Put, Refused, Shared, encode
+
+NAMES = ("a", "b", "c")
+LIVE = frozenset(NAMES)
+
+
+def sight(demand: dict[str, float], live: frozenset[str] = LIVE, settled: bool = True) -> Sight:
+    rows = {name: {"x": d} for name, d in demand.items()}
+    return Sight("a", 1, live, rows, lambda index: [] if settled else ["b"])
+
+
+def settle(shares: Shares, seen: Sight, budget: float = 90.0, most: int = 30) -> list[Any]:
+    steps: list[Any] = []
+    while (step := decide(shares, {"x": budget}, seen)) is not None:
+        shares.apply(len(steps) + 1, step)
+        steps.append(step)
+        assert len(steps) < most, "the rule never settles"
+    return steps
+
+
+# Shares
+
+Kind = tuple[str, dict[str, float]]
+WANTED = st.dictionaries(st.sampled_from("abcd"), st.floats(0, 60), max_size=4)
+SPLITS: st.SearchStrategy[list[Kind]] = st.lists(
+    st.tuples(st.sampled_from(("split", "split", "settle")), WANTED), max_size=30
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(steps=SPLITS)
+def test_whatever_is_proposed_the_ceilings_never_exceed_the_budget(steps: list[Kind]) -> None:
+    shares = Shares()
+    for index, (kind, wanted) in enumerate(steps, 1):
+        known = shares.get("x")
+        before = shares.dump()
+        step = Split("x", 100.0, wanted, known.version, 0) if kind == "split" else Settle("x", known.version)
+        try:
+            shares.apply(index, step)
+        except RefusedSplitError:
+            assert shares.dump() == before
+        known = shares.get("x")
+        assert sum(known.ceiling(name) for name in "abcd") <= 100.0 * (1 + 1e-6)
+        for name in "abcd":  # what an instance may still believe to hold stays counted until settled
+            if kind == "split":
+                assert known.ceiling(name) >= before.limits.get("x", known).ceiling(name) - 1e-9
+    assert Shares(shares.dump()).dump() == shares.dump()
+
+
+def test_what_is_taken_from_one_goes_to_another_only_once_it_is_settled() -> None:
+    shares = Shares()
+    settle(shares, sight({"a": 10.0, "b": 10.0, "c": 10.0}))
+    assert shares.get("x").shares == pytest.approx(dict.fromkeys(NAMES, 30.0))
+    moving = sight({"a": 90.0}, settled=False)
+    settle(shares, moving)
+    known = shares.get("x")
+    assert known.shares["a"] == pytest.approx(30.0), "it was given what others may still spend"
+    assert known.owed["b"] == known.owed["c"] == pytest.approx(27.0)
+    settle(shares, sight({"a": 90.0}))
+    assert shares.get("x").shares == pytest.approx({"a": 84.0, "b": 3.0, "c": 3.0})
+    assert not shares.get("x").owed
+
+
+def test_an_instance_may_have_back_what_was_taken_from_it_without_waiting() -> None:
+    shares = Shares()
+    settle(shares, sight({"a": 10.0, "b": 10.0, "c": 10.0}))
+    settle(shares, sight({"a": 90.0}, settled=False))
+    settle(shares, sight({"b": 90.0}, settled=False))
+    assert shares.get("x").shares["b"] == pytest.approx(30.0)
+
+
+def test_a_share_comes_back_from_one_that_is_gone_and_a_lifted_limit_is_forgotten() -> None:
+    shares = Shares()
+    settle(shares, sight({}))
+    settle(shares, sight({}, live=frozenset("ab")))
+    assert shares.get("x").shares == pytest.approx({"a": 45.0, "b": 45.0})
+    while step := decide(shares, {}, sight({})):
+        shares.apply(99, step)
+    assert "x" not in shares
+
+
+def test_a_smaller_budget_takes_at_once_and_gives_nothing_until_it_fits() -> None:
+    shares = Shares()
+    settle(shares, sight({}))
+    settle(shares, sight({}, settled=False), budget=30.0)
+    known = shares.get("x")
+    assert known.shares == pytest.approx(dict.fromkeys(NAMES, 10.0))
+    assert sum(known.owed.values()) == pytest.approx(60.0)
+    settle(shares, sight({}), budget=30.0)
+    assert not shares.get("x").owed
+
+
+def test_a_split_of_another_version_or_revision_changes_nothing() -> None:
+    machine = Machine()
+    machine.apply(1, encode(Envelope("", 0, Put("x"))))
+
+    def apply(index: int, body: Any) -> Any:
+        return machine.apply(index, encode(Envelope("", 0, body)))
+
+    assert isinstance(apply(2, Split("x", 10.0, {"a": 10.0}, 0, 1)), Shared)
+    assert isinstance(apply(3, Split("x", 10.0, {"b": 10.0}, 0, 1)), Refused)
+    assert isinstance(apply(4, Split("x", 10.0, {"b": 10.0}, 1, 0)), Refused)
+    assert isinstance(apply(5, Split("x", 10.0, {"b": 10.0}, 1, 1)), Refused), "ceilings of 20"
+    apply(6, Judge(FAILED, "s0", "a", 1.0, 5.0))
+    copy = Machine()
+    copy.restore(machine.snapshot())
+    assert (copy.shares.dump(), copy.verdicts.dump()) == (machine.shares.dump(), machine.verdicts.dump())
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(demand=st.dictionaries(st.sampled_from(NAMES), st.floats(0, 1e4)), budget=st.floats(0.1, 1e4))
+def test_targets_are_the_whole_budget_by_demand_with_a_reserve(
+    demand: dict[str, float], budget: float
+) -> None:
+    found = targets(budget, LIVE, demand)
+    assert sum(found.values()) == pytest.approx(budget)
+    assert all(share >= RESERVE * budget / 3 * 0.999 for share in found.values())
+    assert targets(budget, frozenset(), demand) == {}
+
+
+# The purse
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(
+    share=st.floats(0.1, 50),
+    burst=st.floats(0, 3),
+    gaps=st.lists(st.floats(0, 0.4), min_size=10, max_size=120),
+    new=st.floats(0.0, 50),
+)
+def test_a_bucket_passes_no_more_than_its_share_and_its_cap(
+    share: float, burst: float, gaps: list[float], new: float
+) -> None:
+    bucket, now, passed = Bucket(burst), 0.0, []
+    bucket.set(share, now)
+    assert not bucket.has(now), "a bucket begins empty"
+    for n, gap in enumerate(gaps):
+        now += gap
+        if n == len(gaps) // 2:
+            bucket.set(new, now)
+        if bucket.has(now):
+            bucket.take()
+            passed.append(now)
+    high = max(share, new)
+    for k, start in enumerate(passed):
+        for last in range(k, len(passed)):
+            window = passed[last] - start
+            assert last - k + 1 <= high * window + max(1.0, high * burst) + 1e-6
+
+
+def test_a_call_takes_a_token_of_each_limit_that_it_meets_or_none() -> None:
+    purse = Purse()
+    purse.configure([Limit("all", 10.0, prefixes=("+94",)), Limit("one", 1.0, prefixes=("+9411",))])
+    purse.hold({"all": 10.0, "one": 1.0}, 0.0)
+    assert purse.spend("+94112", "", "", 1.0) == (None, ["all", "one"])
+    wait, _ = purse.spend("+94112", "", "", 1.0)
+    assert wait == pytest.approx(1.0)
+    figures = purse.figures()
+    assert (figures["all"]["passed"], figures["all"]["refused"]) == (1, 0)
+    assert (figures["one"]["passed"], figures["one"]["refused"]) == (1, 1)
+    assert sum(purse.spend("+9455", "", "", 1.0)[0] is None for _ in range(20)) == 9
+    assert purse.spend("+1", "", "", 1.0) == (None, [])
+
+
+def test_without_a_share_nothing_passes_and_a_changed_limit_keeps_its_tokens() -> None:
+    purse = Purse()
+    purse.configure([Limit("x", 10.0, prefixes=("+94",))])
+    assert purse.spend("+94", "", "", 5.0)[0] is not None
+    purse.hold({"x": 10.0}, 5.0)
+    purse.configure([Limit("x", 10.0, burst_s=0.5, prefixes=("+94",))])
+    assert sum(purse.spend("+94", "", "", 9.0)[0] is None for _ in range(20)) == 5
+
+
+def test_limits_by_caller_and_class_and_a_demand_that_is_measured() -> None:
+    limit = Limit("x", 1.0, callers=("10.0.0.0/8",), call_class="look-up")
+    assert limit.meets("+94", "look-up", "10.1.2.3")
+    assert not limit.meets("+94", "look-up", "11.1.2.3") and not limit.meets("+94", "other", "10.1.2.3")
+    assert not limit.meets("+94", "look-up", "") and within("::1", ("::/64",))
+    purse = Purse()
+    purse.configure([limit])
+    for n in range(400):
+        purse.spend("+94", "look-up", "10.0.0.1", n / 100)
+        if n % 20 == 0:
+            rate = purse.demands(n / 100)["x"]
+    assert rate == pytest.approx(100.0, rel=0.1)
+
+
+class Gaps:
+    """Refuses what it is told to."""
+
+    def __init__(self) -> None:
+        self.wait: float | None = 3.0
+
+    def refuses(self, called: str, class_name: str, now: float, source: str = "") -> float | None:
+        return self.wait
+
+
+def test_the_screen_gives_a_token_back_if_a_gap_refuses_and_blocks_callers() -> None:
+    purse, gaps = Purse(), Gaps()
+    admitted: list[str] = []
+    purse.configure([Limit("x", 1.0, prefixes=("+94",))])
+    screen = FleetScreen(purse, lambda: 1.0, admitted.append)
+    purse.hold({"x": 1.0}, 0.0)
+    screen.gaps = gaps
+    assert screen.refuses("+94", "", 0.0) == 3.0 and admitted == []
+    gaps.wait = None
+    assert screen.refuses("+94", "", 0.0) is None and admitted == ["x"]
+    assert screen.refuses("+94", "", 0.0) is not None
+    screen.blocked = ("10.0.0.0/8",)
+    assert screen.refuses("+1", "", 0.0, "10.0.0.1") is not None
+    assert screen.refuses("+1", "", 0.0, "11.0.0.1") is None and screen.turned_away == 1
+
+
+# Verdicts
+
+
+def test_a_verdict_is_renewed_under_its_number_and_ends_once() -> None:
+    verdicts = Verdicts()
+    assert verdicts.apply(1, Judge(FAILED, "s0", "a", 2.0, 5.0)) == (1, "")
+    assert verdicts.apply(2, Judge(FAILED, "s0", "b", 3.0, 5.0)) == (1, "")
+    assert verdicts.apply(3, Judge(BLOCKED, "10.0.0.0/8", "b", 0.0, 5.0)) == (2, "")
+    assert verdicts.subjects(FAILED) == {"s0"} and verdicts.subjects(BLOCKED) == {"10.0.0.0/8"}
+    known = verdicts.get(1)
+    assert known and (known.origin, known.version, known.index) == ("b", 2, 2)
+    assert verdicts.apply(4, Lift(1)) == (1, "")
+    assert verdicts.apply(5, Lift(1))[0] == 0
+    assert verdicts.apply(6, Judge("mood", "s0", "a", 0.0, 5.0))[0] == 0
+    assert verdicts.apply(7, Judge(FAILED, "s0", "a", 0.0, 0.0))[0] == 0
+    assert verdicts.version == 4
+
+
+SHARED = '[[upstream]]\nname = "s0"\naddress = "127.0.0.1:1"\n'
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ('[[limit]]\nid = "x"\nper_s = 1', "limit[0]"),
+        ('[[limit]]\nid = ""\nper_s = 1\nprefix = "+94"', "limit[0].id"),
+        ('[[limit]]\nid = "x"\nper_s = -1\nprefix = "+94"', "limit[0].per_s"),
+        ('[[limit]]\nid = "x"\nprefix = "+94"', "limit[0].per_s"),
+        ('[[limit]]\nid = "x"\nper_s = 1\nprefix = "94"', "limit[0].prefix"),
+        ('[[limit]]\nid = "x"\nper_s = 1\nprefixes = ["94"]', "limit[0].prefixes"),
+        ('[[limit]]\nid = "x"\nper_s = 1\ncallers = ["10.0.0.1/8"]', "limit[0].callers"),
+        ('[[limit]]\nid = "x"\nper_s = 1\nprefix = "+94"\nburst = 1', "limit[0].burst"),
+        ('[[limit]]\nid = "x"\nper_s = 1\nprefix = "+94"\n' * 2, "limit[1].id"),
+        ("limit = 3", "limit"),
+        ("[verdicts]\nttl_s = 0", "verdicts.ttl_s"),
+        ("[verdicts]\nfail = 1", "verdicts.fail"),
+    ],
+)
+def test_a_faulty_limit_names_its_key(text: str, key: str) -> None:
+    with pytest.raises(SettingsError) as caught:
+        read_shared((text + "\n" + SHARED) if text[0] != "[" else SHARED + text)
+    assert f"setting {key} " in str(caught.value), caught.value
+
+
+def test_what_holds_for_the_fleet_needs_a_store(tmp_path: Any) -> None:
+    path = tmp_path / "own.toml"
+    path.write_text(SHARED + '[[limit]]\nid = "x"\nper_s = 1\nprefix = "+94"\n')
+    with pytest.raises(SettingsError, match="setting limit belongs in the store's configuration"):
+        read_operator(str(path))
+    assert read_shared(path.read_text()).limits == (Limit("x", 1.0, prefixes=("+94",)),)
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -339,3 +339,88 @@
     assert fails(report).keys() == {"no_fresh_to_out"}, fails(report)
     late = [v.stretch[-1] for v in report.told if v.stretch[-1].event == "left"]
     assert late and {event.name for event in late} == {"c"}
+
+
+# Most of the demand, and so of the limit, is at the one that is cut off from the others.
+LIMITED = """
+instances = 3
+servers = 2
+lease_ms = 600
+seconds = 8.0
+settings = "[[limit]]\\nid = 'appeal'\\nper_s = 30.0\\nburst_s = 0.5\\nprefix = '+9411'\\n"
+[load]
+rate = 150.0
+skew = [1, 1, 4]
+[[fault]]
+kind = "partition"
+groups = "{a, b} | {c}"
+at = 3.5
+for_s = 4.0
+[checks]
+admissions = { per_s = 30.0, window_s = 2.0, epsilon = 18.0 }
+one_answer = {}
+one_leader_a_term = {}
+complete = {}
+no_crash = {}
+"""
+
+
+@pytest.mark.alone
+def test_a_limit_holds_over_all_instances_with_one_cut_off(tmp_path: Path) -> None:
+    report = play(tmp_path, LIMITED)
+    line = report.line()
+    assert report.ok, (line, [(v.why, [e.told(report.start) for e in v.stretch][:3]) for v in report.told])
+    admitted = [e for e in report.events if e.event == "admitted"]
+    before = [e for e in admitted if 1.5 <= e.mono - report.start < 3.5]
+    during = [e for e in admitted if 5.0 <= e.mono - report.start < 7.0]
+    assert 40 <= len(before) <= 78 and sum(e.name == "c" for e in before) > len(before) / 2
+    # Its share has come back to the others, and it spends nothing.
+    assert len(during) >= 30 and {e.name for e in during} == {"a", "b"}
+
+
+@pytest.mark.alone
+def test_its_twin_that_spends_past_its_lease_is_found_out(tmp_path: Path) -> None:
+    report = play(tmp_path, LIMITED + "[double]\nc = 'stale-lease'\n")
+    assert not report.ok and not report.error
+    assert fails(report).keys() == {"admissions"}, fails(report)
+    assert {e.name for v in report.told for e in v.stretch} == {"a", "b", "c"}
+
+
+# Only the link from a to s0 is broken: a finds out, and the others honour it.
+JUDGED = """
+instances = 3
+servers = 2
+relay_servers = true
+lease_ms = 1000
+seconds = 9.0
+settings = "[verdicts]\\nfailed_after_s = 0.5\\nttl_s = 3.0\\n"
+[load]
+rate = 120.0
+[[fault]]
+kind = "link"
+from = "a"
+to = "s0"
+drop = true
+at = 2.0
+for_s = 5.0
+[checks]
+verdict_staleness = { bound_s = 1.1 }
+one_leader_a_term = {}
+complete = {}
+no_crash = {}
+"""
+
+
+@pytest.mark.alone
+def test_what_one_instance_finds_out_of_a_server_all_honour(tmp_path: Path) -> None:
+    report = play(tmp_path, JUDGED)
+    assert report.ok, report.line()
+    assert report.figures["verdicts"] >= 1
+    judging = [e for e in report.events if e.event == "judging"]
+    assert judging and {(e.name, e["subject"]) for e in judging} == {("a", "s0")}
+    (first, *_) = [e.mono for e in report.events if e.event == "verdict"]
+    left = [e for e in report.events if e.event == "left" and first + 0.5 < e.mono < first + 2.0]
+    assert len(left) > 60 and all(str(e["server"]).startswith("s1@") for e in left)
+    assert {e.name for e in left} == {"a", "b", "c"}
+    after = [e for e in report.events if e.event == "left" and str(e["server"]).startswith("s0@")]
+    assert after[-1].mono > judging[-1].mono + 3.0, "it never came back after the verdict's time"
