--- /dev/null
+++ b/tests/test_fleet_models.py
@@ -0,0 +1,54 @@
+"""The virtual worlds of maintenance and limits: they hold, and they can fail."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks import limit_model, maint_model
+
+
+def test_some_hundred_schedules_keep_the_budget_and_the_fence() -> None:
+    total: dict[str, float] = {}
+    for seed in range(1, 301):
+        figures, found = maint_model.schedule(seed)
+        assert not found, found
+        assert figures["most_out_at_once"] <= maint_model.PLAN.max_out
+        for key, value in figures.items():
+            total[key] = total.get(key, 0) + value
+    # It was no world in which nothing happens: orders came to their end, some with an instance gone.
+    assert total["outs"] > 1_000 and total["backs"] > 1_000 and total["fenced"] > 300
+    assert total["acts"] > 100_000
+    assert maint_model.schedule(7) == maint_model.schedule(7)
+
+
+@pytest.mark.parametrize(
+    ("broken", "seeds"),
+    [
+        ("no_confirmation", range(1, 60)),
+        ("lease_ignored", range(1, 60)),
+        ("no_wait_after_election", range(1, 60)),
+        ("unguarded", (280, 355, 1055, 1252)),  # two leaders have to decide within a message's time
+    ],
+)
+def test_a_broken_rule_of_maintenance_is_found(broken: str, seeds: range | tuple[int, ...]) -> None:
+    found = [text for seed in seeds if (text := maint_model.schedule(seed, broken)[1])]
+    assert found, f"{broken} was not found in {len(seeds)} schedules"
+    assert not any(maint_model.schedule(seed)[1] for seed in seeds)
+
+
+def test_some_hundred_schedules_keep_every_window_within_the_bound() -> None:
+    splits = used = 0.0
+    for seed in range(1, 201):
+        figures, found = limit_model.schedule(seed)
+        assert not found, found
+        splits += figures["splits"]
+        used += figures["used_share"]
+    assert splits > 2_000 and used / 200 > 0.3  # shares move, and are spent, for all that goes wrong
+
+
+@pytest.mark.parametrize(
+    "broken", ["no_confirmation", "lease_ignored", "unbudgeted", "no_wait_after_election"]
+)
+def test_a_broken_rule_of_limits_is_found(broken: str) -> None:
+    found = [text for seed in range(1, 40) if (text := limit_model.schedule(seed, broken)[1])]
+    assert found, f"{broken} was not found in 39 schedules"
