--- a/benchmarks/limit_model.py
+++ b/benchmarks/limit_model.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from benchmarks import fleet_world
-from benchmarks.fleet_world import RATES, SECONDS, TICK, Broken, Instance, World
+from benchmarks.fleet_world import RATES, SECONDS, TICK, Broken, Instance, Waits, World
 from harepick.fleet.limits.purse import Limit, Purse
 from harepick.fleet.limits.rule import Sight, decide
 from harepick.fleet.limits.shares import Holding, RefusedSplitError, Shares
--- a/benchmarks/maint_model.py
+++ b/benchmarks/maint_model.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from benchmarks import fleet_world
-from benchmarks.fleet_world import Broken, Instance, World
+from benchmarks.fleet_world import Broken, Instance, Waits, World
 from harepick.fleet.maintenance.orders import (
     CONTROLLER,
     SERVER,
