--- a/benchmarks/maint_model.py
+++ b/benchmarks/maint_model.py
@@ -44,6 +44,7 @@
     def __init__(self, seed: int, broken: str = "") -> None:
         super().__init__(seed, broken)
         self.failed: set[str] = set()
+        self.mended: dict[str, float] = {}  # server -> when it was no longer failed
         self.acts = self.outs = self.backs = self.fenced = self.most = 0
 
     def fresh(self) -> Orders:
@@ -70,7 +71,9 @@
     def _check_leaving(self, machine: str) -> None:
         if not set(SERVERS) - self.truth.barred(SERVER):
             raise Broken(f"{self.now:.3f}: no server is left in service")
-        if not GROUP - self.truth.barred(SERVER) and machine not in self.failed:
+        # What has failed is as the leader saw it when it decided: a message's time before.
+        failed = machine in self.failed or self.now - self.mended.get(machine, -1.0) <= self.late
+        if not GROUP - self.truth.barred(SERVER) and not failed:
             raise Broken(f"{self.now:.3f}: {machine} was the last of its group")
 
     def lead(self, instance: Instance[Orders], live: frozenset[str], waits: Waits) -> None:
@@ -115,7 +118,10 @@
             raise Broken(f"{self.now:.3f}: {instance.name} is out, and sent to {server}")
 
     def trouble(self) -> None:
-        self.failed ^= {self.rng.choice(SERVERS)}
+        server = self.rng.choice(SERVERS)
+        if server in self.failed:
+            self.mended[server] = self.now
+        self.failed ^= {server}
 
     def operate(self) -> None:
         self.at(0.2, self._operator)
