--- /dev/null
+++ b/benchmarks/gap_fleet.py
@@ -0,0 +1,120 @@
+"""One gap over a real fleet: at most one call an interval passes at all instances together.
+
+Demand is skewed and moves, instances are killed and paused; every pass is written down with its slot.
+
+    python -m benchmarks.gap_fleet --instances 3 --seconds 60 --seed 1
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import tempfile
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import anyio
+
+from benchmarks.daemons import print_line
+from harepick.fleet.checks import trouble
+from harepick.fleet.play import Play, Report
+from harepick.fleet.scenario import make_scenario
+
+LEASE = 1.0
+GAPPED, OTHER = "+9411", "+9455"
+SETTLED = 3.0  # seconds after a fault in which turns move
+RATES = {"even": 60.0, "skewed": 60.0, "thin": 6.0}  # look-ups a second to gapped numbers, over the fleet
+
+
+def table(instances: int, seconds: float, seed: int, interval: float, demand: str) -> dict[str, Any]:
+    rng = Random(seed)
+    kinds: list[dict[str, Any]] = [
+        {"kind": "kill", "whom": "follower"},
+        {"kind": "pause", "whom": "any"},
+        {"kind": "partition", "groups": "{a} | {rest}"},
+        {"kind": "kill", "whom": "leader"},
+    ]
+    rng.shuffle(kinds)
+    faults: list[dict[str, Any]] = []
+    at = 10.0
+    while at + 8.0 < seconds:
+        row = dict(kinds[len(faults) % len(kinds)])
+        faults.append(row | {"at": [at, at + 1.0], "for_s": [1.5, 3.0]})
+        at += 12.0
+    shifts = []
+    if demand != "even":
+        for n in range(int(seconds // 15) + 1):
+            weights = [1.0] * instances
+            weights[rng.randrange(instances)] = 10.0
+            shifts.append({"at": 15.0 * n, "skew": weights})
+    rate = RATES[demand]
+    return {
+        "instances": instances,
+        "servers": 2,
+        "lease_ms": LEASE * 1000,
+        "seconds": seconds,
+        "settings": f'[[gap]]\nid = "radio"\nprefix = "{GAPPED}"\ninterval_s = {interval}\n',
+        "load": {"rate": rate * 1.3, "numbers": {GAPPED: 1.0, OTHER: 0.3}, "shift": shifts},
+        "fault": faults,
+        "checks": {name: {} for name in ("one_answer", "one_leader_a_term", "complete", "no_crash")}
+        | {"one_pass_a_slot": {"most": 1}},
+    }
+
+
+def used(report: Report, interval: float, start: float, end: float) -> float:
+    """Share of the slots between two times, in seconds from the start, in which a call passed."""
+    slots = {
+        event["slot"]
+        for event in report.events
+        if event.event == "passed" and start <= event.mono - report.start < end
+    }
+    return len(slots) * interval / (end - start) if end > start else 0.0
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--instances", type=int, default=3)
+    parser.add_argument("--interval", type=float, default=0.5, help="seconds")
+    parser.add_argument("--demand", choices=sorted(RATES), default="skewed")
+    wanted = parser.parse_args()
+    made = table(wanted.instances, wanted.seconds, wanted.seed, wanted.interval, wanted.demand)
+    scenario = make_scenario(made, "gap_fleet")
+    with tempfile.TemporaryDirectory() as folder:
+        report = anyio.run(Play(scenario, wanted.seed, Path(folder)).run)
+    for violation in report.told[:10]:
+        print(f"{violation.check}: {violation.why}", file=sys.stderr)
+    wrong = trouble(report.events, report.start, report.seconds)
+    parts, at = [], 3.0
+    while at + 2.0 <= report.seconds:
+        if not any(since - 0.5 <= at + 2.0 and at <= until + SETTLED for since, until in wrong):
+            parts.append(used(report, wanted.interval, at, at + 2.0))
+        at += 2.0
+    around = [
+        round(used(report, wanted.interval, since, min(until + SETTLED, report.seconds)), 3)
+        for since, until in wrong
+    ]
+    steady = sum(parts) / len(parts) if parts else 0.0
+    line = {
+        "benchmark": "gap_fleet",
+        "seed": wanted.seed,
+        "ok": report.ok and steady > 0.5,
+        "seconds": wanted.seconds,
+        "interval": wanted.interval,
+        "demand": wanted.demand,
+        "used_share_steady": round(steady, 3),
+        "used_share_steady_min": round(min(parts, default=0.0), 3),
+        "used_share_around_faults": around,
+        **report.figures,
+        "violations": report.violations,
+        "error": report.error,
+    }
+    return print_line(line)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/limit_fleet.py
+++ b/benchmarks/limit_fleet.py
@@ -19,6 +19,7 @@
 import anyio
 
 from benchmarks.daemons import print_line
+from harepick.fleet.checks import trouble
 from harepick.fleet.history import Event
 from harepick.fleet.play import Play, Report
 from harepick.fleet.scenario import make_scenario
@@ -101,33 +102,6 @@
             await anyio.sleep(EVERY)
 
 
-def spans(report: Report) -> list[tuple[float, float]]:
-    """When something was wrong, in seconds from the start, by the timeline as it was played."""
-    found: list[tuple[float, float]] = []
-    since: dict[str, float] = {}
-    for event in report.events:
-        at = event.mono - report.start
-        if not 0 <= at <= report.seconds:
-            continue
-        match event.event, event.fields.get("what"):
-            case "partition", _:
-                since["net"] = at
-            case "heal", _:
-                if "net" in since:
-                    found.append((since.pop("net"), at))
-            case "link", _:
-                if event["fault"]:
-                    since[event["link"]] = at
-                elif event["link"] in since:
-                    found.append((since.pop(event["link"]), at))
-            case "process", "kill" | "pause" | "stop":
-                since[event["whom"]] = at
-            case "process", "serving" | "resume":
-                if event["whom"] in since:
-                    found.append((since.pop(event["whom"]), at))
-    return [*found, *((at, report.seconds) for at in since.values())]
-
-
 def used(report: Report, admitted: Sequence[Event], start: float, end: float) -> float:
     """Share of the limit that was used between two times."""
     count = sum(start <= event.mono - report.start < end for event in admitted)
@@ -136,7 +110,7 @@
 
 def figures(report: Report) -> dict[str, Any]:
     admitted = [event for event in report.events if event.event == "admitted"]
-    wrong = spans(report)
+    wrong = trouble(report.events, report.start, report.seconds)
     steady_parts, at = [], SETTLED + 2.0
     while at + 1.0 <= report.seconds:
         if not any(since - 0.5 <= at + 1.0 and at <= until + SETTLED for since, until in wrong):
--- a/harepick/fleet/checks.py
+++ b/harepick/fleet/checks.py
@@ -139,6 +139,34 @@
     return spans
 
 
+def trouble(events: Sequence[Event], start: float, seconds: float) -> list[tuple[float, float]]:
+    """When something was wrong, by the rig's own lines, in seconds from `start`: links, partitions, and
+    instances that were not running."""
+    found: list[tuple[float, float]] = []
+    since: dict[str, float] = {}
+    for event in _of(events, "partition", "heal", "link", "process"):
+        at = event.mono - start
+        if not 0 <= at <= seconds:
+            continue
+        match event.event, event.fields.get("what"):
+            case "partition", _:
+                since["net"] = at
+            case "heal", _:
+                if "net" in since:
+                    found.append((since.pop("net"), at))
+            case "link", _:
+                if event["fault"]:
+                    since[event["link"]] = at
+                elif event["link"] in since:
+                    found.append((since.pop(event["link"]), at))
+            case "process", "kill" | "pause" | "stop":
+                since[event["whom"]] = at
+            case "process", "serving" | "resume":
+                if event["whom"] in since:
+                    found.append((since.pop(event["whom"]), at))
+    return [*found, *((at, seconds) for at in since.values())]
+
+
 def one_answer(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
     """Each look-up has one answer at most, and one for certain if its instance ran all the while."""
     finding = Finding()
@@ -349,6 +377,25 @@
     return finding
 
 
+def one_pass_a_slot(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """Over all instances no more than `most` calls pass a gap in one of its slots (`passed`)."""
+    finding = Finding()
+    slots: dict[tuple[str, int], list[Event]] = defaultdict(list)
+    for event in _of(events, "passed"):
+        rows = slots[event["gap"], event["slot"]]
+        rows.append(event)
+        if len(rows) > arguments["most"]:
+            who = ", ".join(row.name for row in rows)
+            why = f"gap {event['gap']}: {len(rows)} calls passed in slot {event['slot']}, at {who}"
+            finding.against("one_pass_a_slot", why, *rows)
+    finding.figures = {
+        "slots_used": len(slots),
+        "most_in_one_interval": max((len(rows) for rows in slots.values()), default=0),
+        "double_passes": finding.count,
+    }
+    return finding
+
+
 CHECKS: dict[str, Check] = {
     "no_stale_act": Check(no_stale_act),
     "no_stale_arrival": Check(no_stale_arrival),
@@ -360,6 +407,7 @@
     "most_out": Check(most_out, ("servers", "controllers")),
     "no_fresh_to_out": Check(no_fresh_to_out),
     "admissions": Check(admissions, ("per_s", "window_s", "epsilon")),
+    "one_pass_a_slot": Check(one_pass_a_slot, ("most",)),
     "verdict_staleness": Check(verdict_staleness, ("bound_s",)),
 }
 
--- a/harepick/fleet/child.py
+++ b/harepick/fleet/child.py
@@ -44,10 +44,12 @@
 
 
 def _borrow() -> None:
-    """Breaks: an instance spends only while it holds its lease, and only what it holds."""
+    """Breaks: an instance spends only the share that it holds, and only the turns that it owns."""
     from harepick.fleet.limits.purse import Bucket
+    from harepick.gapping.turns import Turns
 
     Bucket.has = lambda self, now: True  # type: ignore[method-assign]
+    Turns.owns = lambda self, gap, slot: True  # type: ignore[method-assign]
 
 
 DOUBLES: dict[str, Callable[[], None]] = {
--- a/harepick/fleet/limits/screen.py
+++ b/harepick/fleet/limits/screen.py
@@ -14,27 +14,35 @@
 class FleetScreen:
     """`harepick.core.words.Screen`; one task uses it, the core's."""
 
-    def __init__(self, purse: Purse, clock: Callable[[], float], admitted: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        purse: Purse,
+        clock: Callable[[], float],
+        admitted: Callable[[str], None],
+        passed: Callable[[str, float], None] = lambda called, now: None,
+    ) -> None:
         """`clock`: seconds of which the rate counts; `admitted` hears of each limit that a call counted
-        against."""
+        against, `passed` of each number that passed the gaps, and when."""
         self.purse = purse
         self.gaps: Screen | None = None
         self.blocked: tuple[str, ...] = ()  # networks of callers under a verdict
         self.turned_away = 0  # calls of theirs
-        self._clock, self._admitted = clock, admitted
+        self._clock, self._admitted, self._passed = clock, admitted, passed
 
     def refuses(self, called: str, class_name: str, now: float, source: str = "") -> float | None:
         if self.blocked and within(source, self.blocked):
             self.turned_away += 1
             return WAIT
-        if not self.purse:
-            return self.gaps.refuses(called, class_name, now, source) if self.gaps else None
+        if not self.purse and not self.gaps:
+            return None
         wait, names = self.purse.spend(called, class_name, source, self._clock())
         if wait is not None:
             return wait
-        if self.gaps and (wait := self.gaps.refuses(called, class_name, now, source)) is not None:
-            self.purse.give_back(names)
-            return wait
+        if self.gaps:
+            if (wait := self.gaps.refuses(called, class_name, now, source)) is not None:
+                self.purse.give_back(names)
+                return wait
+            self._passed(called, now)
         for name in names:
             self._admitted(name)
         return None
--- a/harepick/gapping/screen.py
+++ b/harepick/gapping/screen.py
@@ -81,6 +81,13 @@
         """The gaps that count for such a call, most specific first; takes no turn."""
         return [gap for gap, _ in self._gaps.explain(Call(called, class_name, self._zone), now)]
 
+    def uses(self) -> list[tuple[str, float, int]]:
+        """By gap: its id, interval in seconds, and calls offered since the start."""
+        counts = self._gaps.counts()
+        return [
+            (name, gap.interval, counts[name][0]) for name, (_, gap) in self._rows.items() if name in counts
+        ]
+
     def counts(self) -> Mapping[str, tuple[int, int, int]]:
         """By gap: calls offered, passed, and refused by it."""
         return self._gaps.counts()
--- a/harepick/gapping/shares.py
+++ b/harepick/gapping/shares.py
@@ -1,14 +1,10 @@
 """The allotment of a gap's turns over the fleet: which instance owns which slots. Pure and deterministic.
 
-Two halves, as in `docs/design/gapping.md` ("Turns over the fleet"):
+`docs/design/gapping.md`, "Turns over the fleet". Every replica applies the same `Ask`s in the same order and
+comes to the same owners. Nothing depends on a clock, on chance or on who applies it; an `Ask` carries the
+slot from which its instance could still use turns. One instance's part is `turns.py`.
 
-- `Allotment` is replicated state: every replica applies the same `Ask`s in the same order and comes to the
-  same owners. Nothing in it depends on a clock, on chance or on who applies it; an `Ask` carries the slot
-  from which its instance could still use turns.
-- `Holdings` is one instance's view: the blocks that the store has committed to it, and whether a slot is its
-  own now. It passes a call only in a slot it owns, and only while it can show that it is current.
-
-Slots are numbered from a gap's start: slot n is [start + n * interval, start + (n + 1) * interval).
+Slots are numbered from the Unix epoch: slot n is [n * interval, (n + 1) * interval).
 """
 
 from __future__ import annotations
@@ -30,6 +26,7 @@
     gap: str
     first: int
     demand: float
+    most: int = MOST_BLOCK  # slots in the block that it is given
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +72,8 @@
             state.demand.popitem(last=False)
         total = sum(state.demand.values())
         share = state.demand[ask.instance] / total if total > 0 else 1.0 / len(state.demand)
-        length = max(1, min(MOST_BLOCK, round(share * MOST_BLOCK)))
+        most = max(1, min(MOST_BLOCK, ask.most))
+        length = max(1, round(share * most))
         first = max(state.cursor, ask.first)
         state.cursor = first + length
         block = Block(ask.gap, ask.instance, first, length)
@@ -118,33 +116,3 @@
     def forget(self, gap: str) -> None:
         """A gap that was lifted: a new one of the same id begins anew."""
         self._gaps.pop(gap, None)
-
-
-class Holdings:
-    """One instance's committed blocks, by gap; whether a slot is its own."""
-
-    def __init__(self, instance: str) -> None:
-        self.instance = instance
-        self._blocks: dict[str, list[Block]] = {}
-
-    def committed(self, block: Block, slot: int) -> None:
-        """A block that the store has committed, seen in `slot`; those of others are no business of this
-        instance, and its own that are over are dropped."""
-        if block.instance != self.instance:
-            return
-        held = [b for b in self._blocks.get(block.gap, ()) if b.end > slot]
-        held.append(block)
-        held.sort(key=lambda b: b.first)
-        self._blocks[block.gap] = held[-MOST_HELD:]
-
-    def owns(self, gap: str, slot: int) -> bool:
-        return any(slot in block for block in self._blocks.get(gap, ()))
-
-    def ahead(self, gap: str, slot: int) -> int:
-        """Slots from `slot` until this instance's last block of the gap ends: it asks again when few are
-        left. Slots of others may lie between."""
-        ends = [block.end for block in self._blocks.get(gap, ())]
-        return max(0, max(ends, default=slot) - slot)
-
-    def drop(self, gap: str) -> None:
-        self._blocks.pop(gap, None)
--- a/harepick/store/attach.py
+++ b/harepick/store/attach.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Mapping
 from dataclasses import replace
+from math import floor
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -35,10 +36,13 @@
 from harepick.fleet.maintenance.orders import CONTROLLER, SERVER
 from harepick.fleet.maintenance.rule import Plan
 from harepick.fleet.maintenance.steward import Facts, Steward, with_barred
+from harepick.gapping.gaps import NONE
+from harepick.gapping.shares import Block
+from harepick.gapping.turns import Turns
 from harepick.log import Log
 from harepick.settings import OWN_KEYS, Address, Enum, SettingsError, address, read_shared, read_toml
 from harepick.store.disk.files import StorageError
-from harepick.store.machine import Conflict, Done, Envelope, Machine, Put, Revision, View, ViewRow
+from harepick.store.machine import AskTurns, Conflict, Done, Envelope, Machine, Put, Revision, View, ViewRow
 from harepick.store.operators import Operators
 from harepick.store.raft.core import BusyError, NotLeaderError
 from harepick.store.replica import Replica, StoreUnavailableError, clock
@@ -50,6 +54,7 @@
 
 VIEW_EVERY = 1.0  # seconds between two writes of the pool view
 FIRST_EVERY = 0.5  # between two tries to write the first configuration
+TURNS_EVERY = 0.05  # seconds between two looks at the turns of gaps
 HISTORY_EVERY = 1.0  # between two looks at the role, if nothing wakes the watch
 # Until a configuration is known: everything is refused with a time to come back, as the gate is shut.
 NOTHING = '[[upstream]]\nname = "none"\naddress = "127.0.0.1:9"\ndraining = true\n'
@@ -79,8 +84,10 @@
         self._remembered = False
         nothing = replace(read_shared(NOTHING, self._own), upstreams=())
         self.purse = Purse()
-        self.screen = FleetScreen(self.purse, clock, self._admitted)
+        self.screen = FleetScreen(self.purse, clock, self._admitted, self._passed)
         self.front = EnumFront(nothing, counters, log, gate=self, outer=self.screen)
+        self.turns = Turns(settings.replica, self._blocks, time.time())
+        self.front.owns = self.turns.owns
         self.replica = Replica(settings, counters, log, self._adopt, self._follow)
         self.steward = Steward(self.replica, self._facts, counters, log)
         self.limits = LimitSteward(self.replica, self.purse, self._limit_facts, counters, log, self._judging)
@@ -218,6 +225,13 @@
             avoided=frozenset(u.name for u in ready if server_name(u.name, u.address) in avoided),
         )
 
+    def _passed(self, called: str, now: float) -> None:
+        if self._history is None or self.front.gaps is None or self._config is None:
+            return
+        for gap in self.front.gaps.explain(called, self._config.call_class, now):
+            if 0 < gap.interval < NONE:
+                self._history.note("passed", gap=gap.id, slot=floor(now / gap.interval))
+
     def _admitted(self, limit: str) -> None:
         if self._history:
             self._history.note("admitted", limit=limit)
@@ -260,6 +274,7 @@
             await tasks.start(self.replica.run)
             tasks.start_soon(self.steward.run)
             tasks.start_soon(self.limits.run)
+            tasks.start_soon(self._ask_turns)
             tasks.start_soon(self._tell_view)
             if self._history:
                 tasks.start_soon(self._tell_history, self._history)
@@ -292,6 +307,21 @@
                 history.note("role", role=now[0], term=now[1], leader=now[2], stopped=now[3])
             await self.replica.changed(HISTORY_EVERY)
 
+    def _blocks(self, name: str, instance: str) -> list[Block]:
+        return self.replica.node.machine.turns.blocks(name, instance)
+
+    async def _ask_turns(self) -> None:
+        """Turns of gaps, as long as calls come for them here: a message for some slots, never for a call."""
+        while True:
+            await anyio.sleep(TURNS_EVERY)
+            gaps = self.front.gaps
+            if gaps is None or not self.replica.may_act():
+                continue
+            for ask in self.turns.asks(time.time(), gaps.uses()):
+                body = AskTurns(ask.instance, ask.gap, ask.first, ask.demand, time.time(), ask.most)
+                self.replica.suggest(Envelope("", 0, body))
+                self._counters.add("gaps.asked")
+
     async def _write_first(self, text: str) -> None:
         """The first configuration of a new cluster, from the file that `store.first` names; one of them
         wins."""
--- a/harepick/store/machine.py
+++ b/harepick/store/machine.py
@@ -92,6 +92,7 @@
     first: int
     demand: float  # its calls offered a second, lately
     at: float = 0.0
+    most: int = 16  # slots at once
 
 
 Command = Put | RollBack | View | AskTurns | OrderCommand | LimitCommand | VerdictCommand
@@ -266,8 +267,8 @@
                 while len(self.views) > MOST_VIEWS:
                     del self.views[next(iter(self.views))]
                 return Done(self.latest.number if self.latest else 0, index)
-            case AskTurns(instance, gap, first, demand):
-                block = self.turns.apply(Ask(instance, gap, first, demand))
+            case AskTurns(instance, gap, first, demand, _, most):
+                block = self.turns.apply(Ask(instance, gap, first, demand, most))
                 return Granted(gap, block.first, block.length, index)
             case Split() | Settle():
                 return self._share(index, command)
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -164,6 +164,7 @@
         for n, state in enumerate(("waiting", "leaving", "out", "back"))
     ],
     at(5.0, "a", "admitted", limit="x"),
+    at(6.0, "a", "passed", gap="radio", slot=7),
     at(7.5, "a", "verdict", verdict=1, kind="failed", subject="s8"),
     at(8.0, "b", "left", server="s8@1", revision=9, orders=4),
     at(9.0, "rig", "kept", revision=2, note="n=2"),
@@ -187,6 +188,7 @@
     ("no_fresh_to_out", at(3.25, "rig", "arrived", server="s0", revision=2)),
     ("no_fresh_to_out", at(3.25, "a", "left", server="s1@1", revision=2, orders=1)),
     ("verdict_staleness", at(8.9, "b", "left", server="s8@1", revision=9, orders=4)),
+    ("one_pass_a_slot", at(6.1, "b", "passed", gap="radio", slot=7)),
     ("admissions", [at(5.5 + n / 100, "b", "admitted", limit="x") for n in range(2)]),
 ]
 
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -424,3 +424,42 @@
     assert {e.name for e in left} == {"a", "b", "c"}
     after = [e for e in report.events if e.event == "left" and str(e["server"]).startswith("s0@")]
     assert after[-1].mono > judging[-1].mono + 3.0, "it never came back after the verdict's time"
+
+
+GAPPED = """
+instances = 3
+servers = 2
+lease_ms = 600
+seconds = 6.0
+settings = "[[gap]]\\nid = 'radio'\\nprefix = '+9411'\\ninterval_s = 0.25\\n"
+[load]
+rate = 120.0
+skew = [4, 1, 1]
+[[fault]]
+kind = "kill"
+whom = "a"
+at = 2.5
+for_s = 1.0
+[checks]
+one_pass_a_slot = { most = 1 }
+one_answer = {}
+complete = {}
+no_crash = {}
+"""
+
+
+@pytest.mark.alone
+def test_one_call_a_slot_passes_a_gap_over_all_instances(tmp_path: Path) -> None:
+    report = play(tmp_path, GAPPED)
+    line = report.line()
+    assert report.ok, (line, [(v.why, [e.told(report.start) for e in v.stretch]) for v in report.told])
+    passed = [e for e in report.events if e.event == "passed"]
+    assert {e.name for e in passed} == {"a", "b", "c"} and line["slots_used"] > 12
+
+
+@pytest.mark.alone
+def test_its_twin_that_takes_turns_of_others_is_found_out(tmp_path: Path) -> None:
+    report = play(tmp_path, GAPPED + "[double]\nb = 'borrow'\n")
+    assert not report.ok and not report.error
+    assert fails(report).keys() == {"one_pass_a_slot"}, fails(report)
+    assert all("b" in {e.name for e in v.stretch} for v in report.told)
--- a/tests/test_gap_shares.py
+++ b/tests/test_gap_shares.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
+from math import inf
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from harepick.gapping.gaps import Owner
-from harepick.gapping.shares import MOST_BLOCK, Allotment, Ask, Block, Holdings
+from harepick.gapping.shares import MOST_BLOCK, Allotment, Ask, Block
+from harepick.gapping.turns import Turns
 
 ASKS = st.lists(
     st.tuples(st.sampled_from("abcde"), st.sampled_from(["g", "h"]), st.integers(0, 200), st.floats(0, 500)),
@@ -45,36 +47,29 @@
     assert 2.5 < owned["busy"] / owned["quiet"] < 3.5
 
 
-def test_an_instance_owns_only_its_committed_slots() -> None:
-    allotment, mine = Allotment(), Holdings("a")
-    for name in "abab":  # a alone at first: a whole block; then half a block each
-        mine.committed(allotment.apply(Ask(name, "g", 0, 1.0)), 0)
-    owned = [slot for slot in range(64) if mine.owns("g", slot)]
-    assert owned == [*range(0, 16), *range(24, 32)]
-    assert mine.ahead("g", 2) == 30 and mine.ahead("g", 40) == 0
-    assert not Holdings("b").owns("g", 0)
-
-
 def test_an_instance_that_dies_takes_at_most_its_blocks_ahead_and_no_slot_passes_twice() -> None:
     """Three instances ask again each time they hold less than two slots ahead; one dies at slot 100. From
     then on the slots it owns go unused, no more than it held then; no slot passes twice."""
     rng = random.Random(1)
     allotment = Allotment()
-    holders = {name: Holdings(name) for name in "abc"}
-    alive = set(holders)
+    alive = set("abc")
     passes: dict[int, list[str]] = {}
     lost_after = 0
+
+    def owns(name: str, slot: int) -> bool:
+        return any(slot in block for block in allotment.blocks("g", name))
+
     for slot in range(300):
         if slot == 100:
             alive.discard("c")
-            held_then = sum(1 for s in range(100, 300) if holders["c"].owns("g", s))
+            held_then = sum(1 for s in range(100, 300) if owns("c", s))
         for name in sorted(alive):
-            if holders[name].ahead("g", slot) < 2:
-                holders[name].committed(allotment.apply(Ask(name, "g", slot + 1, rng.uniform(5, 15))), slot)
+            if max((block.end for block in allotment.blocks("g", name)), default=slot) - slot < 2:
+                allotment.apply(Ask(name, "g", slot + 1, rng.uniform(5, 15)))
         for name in sorted(alive):
-            if holders[name].owns("g", slot):
+            if owns(name, slot):
                 passes.setdefault(slot, []).append(name)
-        if slot >= 100 and holders["c"].owns("g", slot):
+        if slot >= 100 and owns("c", slot):
             lost_after += 1
     assert all(len(names) == 1 for names in passes.values())
     assert lost_after == held_then <= 2 * MOST_BLOCK
@@ -126,3 +121,43 @@
         now += 0.01
     assert max(passes.values()) == 1
     assert len(passes) >= 0.9 * (30.0 / 0.5)
+
+
+def test_turns_are_asked_for_where_calls_come_and_not_on_a_restart_s_slot() -> None:
+    """Two instances on one allotment, demand at the first, then at the second, asked 20 times a second."""
+    allotment, now = Allotment(), 1000.0
+    turns = {name: Turns(name, allotment.blocks, now) for name in "ab"}
+    offered = dict.fromkeys("ab", 0)
+    used: dict[int, str] = {}
+    asks = 0
+    while now < 1040.0:
+        busy = "a" if now < 1020.0 else "b"
+        offered[busy] += 2
+        for name in "ab":
+            for ask in turns[name].asks(now, [("radio", 0.5, offered[name]), ("never", inf, 9)]):
+                assert ask.gap == "radio@0.5" and ask.most == 4
+                allotment.apply(ask)
+                asks += 1
+        slot = int(now // 0.5)
+        if turns[busy].owns("radio", slot):
+            assert used.setdefault(slot, busy) == busy
+        now += 0.05
+    assert 2000 not in used, "the slot in which the process started"
+    assert set(used.values()) == {"a", "b"} and len(used) > 0.85 * 80
+    assert asks < 80, "more than one message a slot"
+    after = Turns("a", allotment.blocks, 1010.0)
+    list(after.asks(1010.0, [("radio", 0.5, 1)]))
+    assert not after.owns("radio", 2020)
+
+
+def test_another_interval_has_other_turns() -> None:
+    allotment = Allotment()
+    turns = Turns("a", allotment.blocks, 900.0)
+    for now in (1000.0, 1000.1):
+        for ask in turns.asks(now, [("radio", 0.5, 5)]):
+            allotment.apply(ask)
+    assert turns.owns("radio", 2001)
+    for now in (1000.2, 1000.3):
+        for ask in turns.asks(now, [("radio", 1.0, 9)]):
+            allotment.apply(ask)
+    assert turns.owns("radio", 1001) and not turns.owns("radio", 2001)
