Measure the ordinary path of a call against another checkout, by turns in one run

Change: benchmarks/path_cost runs the core's path of a look-up (offer, last look, send, answer) in processes of either checkout.

--- /dev/null
+++ b/benchmarks/path_cost.py
@@ -0,0 +1,122 @@
+"""What the ordinary path of a call costs in the core, against another checkout of the program in one run.
+
+A look-up is offered, sent to a stand-in port, answered and over; no gap, limit or verdict is set. Both
+checkouts run in processes of their own, by turns, and the ratio of their medians is told.
+
+    python -m benchmarks.path_cost --against ../before --rounds 15
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from benchmarks.daemons import percentile, print_line
+
+ROOT = Path(__file__).parent.parent
+CALLS = 4_000
+MOST_RATIO = 1.05
+
+# Run in either checkout: only names that both have.
+WORK = """
+import sys, time
+from harepick import interface as i
+from harepick.core.engine import Engine
+from harepick.core.inbox import Inbox
+from harepick.core.words import Answered, Offer
+from harepick.counters import Counters
+from harepick.log import Log
+from harepick.settings import read_enum
+
+class Port:
+    def place(self, attempt):
+        now = clock()
+        if not attempt.may_leave(now):
+            return i.Outcome.MOOT
+        attempt.sent = now
+        self.out = attempt
+        return None
+    def cancel(self, attempt):
+        return True
+    def release(self, server, call):
+        pass
+
+class Caller:
+    def stands(self, description): pass
+    def refused(self, stay_away): raise SystemExit("refused")
+    def failed(self): raise SystemExit("failed")
+    def over(self, *, cut): pass
+    def clashes(self): raise SystemExit("clashes")
+
+now = 1000.0
+def clock():
+    return now
+
+settings = read_enum({"upstream": [{"name": "a", "address": "127.0.0.1:1"}]}).settings
+port = Port()
+engine = Engine(settings, 1, port, Inbox(), Counters(), Log(), 20000, clock)
+engine.begin(i.ServerList(i.ListKind.ALL, (i.ServerEntry("a", 0, "ready"),)))
+caller = Caller()
+def calls(count):
+    global now
+    for n in range(count):
+        now += 0.01
+        engine.turn([Offer(f"c{now}", "look-up", 0, n, now + 2.0, caller, b"", called="+94112345678")])
+        attempt = port.out
+        engine.turn([Answered(attempt.call, attempt.number, attempt.server, b"x", lasting=False)])
+calls(500)
+began = time.process_time()
+calls(int(sys.argv[1]))
+print((time.process_time() - began) / int(sys.argv[1]) * 1e6)
+"""
+
+
+def once(checkout: Path) -> float:
+    """Microseconds of a call."""
+    done = subprocess.run(
+        [sys.executable, "-c", WORK, str(CALLS)],
+        cwd=checkout,
+        env=os.environ | {"PYTHONPATH": str(checkout)},
+        capture_output=True,
+        text=True,
+        timeout=120,
+        check=True,
+    )
+    return float(done.stdout)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--against", required=True, type=Path, help="root of the other checkout")
+    parser.add_argument("--rounds", type=int, default=15)
+    parser.add_argument("--seed", type=int, default=1, help="told only: nothing here is drawn")
+    wanted = parser.parse_args()
+    mine: list[float] = []
+    other: list[float] = []
+    began = time.monotonic()
+    for _ in range(wanted.rounds):
+        mine.append(once(ROOT))
+        other.append(once(wanted.against.resolve()))
+    ratio = percentile(mine, 0.5) / percentile(other, 0.5)
+    line = {
+        "benchmark": "path_cost",
+        "seed": wanted.seed,
+        "ok": ratio <= MOST_RATIO,
+        "us_per_call": round(percentile(mine, 0.5), 2),
+        "us_per_call_before": round(percentile(other, 0.5), 2),
+        "ratio": round(ratio, 3),
+        "most_ratio": MOST_RATIO,
+        "rounds": wanted.rounds,
+        "took_s": round(time.monotonic() - began, 1),
+    }
+    return print_line(line)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
