--- a/harepick/fleet/checks.py
+++ b/harepick/fleet/checks.py
@@ -85,8 +85,9 @@
             if at and event["revision"] < acks[at - 1]["revision"]:
                 ack = acks[bisect.bisect_right([a["revision"] for a in acks], event["revision"])]
                 late = (event.mono - ack.mono) * 1000
+                who = f"{event['server']} was sent something" if what == "arrived" else f"{event.name} acted"
                 why = (
-                    f"{event.name} acted under revision {event['revision']} "
+                    f"{who} under revision {event['revision']} "
                     f"{late:.1f} ms after revision {ack['revision']} was acknowledged"
                 )
                 finding.against(check, why, adopted.get(event.name), ack, event)
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -463,3 +463,12 @@
     assert not report.ok and not report.error
     assert fails(report).keys() == {"one_pass_a_slot"}, fails(report)
     assert all("b" in {e.name for e in v.stretch} for v in report.told)
+
+
+@pytest.mark.alone
+def test_clocks_further_apart_than_the_fence_allows_are_found_out(tmp_path: Path) -> None:
+    """The rig's clock rates reach the program: its own figure of what it may stand is 10%."""
+    rates = "[clock_rate]\na = 1.6\nb = 1.6\nc = 0.5\n"
+    report = play(tmp_path, CUT.replace("[checks]", rates + "[checks]"))
+    assert not report.error
+    assert fails(report).keys() == {"no_stale_act", "no_stale_arrival"}, fails(report)
