Serve a configuration that comes while the ENUM front opens its sockets

Seen: after a kill and restart of a store's daemon 9 of 10 look-ups were refused ("stay away for 250 ms") for as long as the configuration did not change, in 4 of 6 restarts; in some the figures told one server of two. Checked: the module's view by its figures (one server told off as it should be, the other open); the store (revision adopted, lease held); ruled out the module and the order. Cause: EnumFront.run captured self._config before it opened its sockets, and `apply` and `remember` return early as long as _front is None: what the store brought in between was taken down, and never served. The routes stayed those of the empty start, so that no server was a first choice and each call needed a token.

Change: once up, run takes over what came meanwhile and tells the core the whole list; the node follows orders before it adopts, so that a revision takes effect under them at once. A leader that is asked out hands over to a voter alone, and a refused hand-over ends no process; learners get shares of limits.

--- a/harepick/enumdns/service.py
+++ b/harepick/enumdns/service.py
@@ -234,6 +234,11 @@
             self._generations.append(first)
             await tasks.start(first.run, change)
             front = self._front = Front(self._serving(config, first), counters, log)
+            if self._config is not config:  # the store's came while the sockets were opened
+                latest, self._config = self._config, config
+                self.apply(latest)
+                # What was remembered meanwhile may have missed the core: it hears the whole list anew.
+                first.told(i.ServerList(i.ListKind.ALL, self.directory.entries()))
             tasks.start_soon(self._follow, tasks)
             tasks.start_soon(front.serve_udp, sock)
             tasks.start_soon(listener.serve, front.serve_tcp)
--- a/harepick/fleet/limits/steward.py
+++ b/harepick/fleet/limits/steward.py
@@ -78,7 +78,7 @@
         sight = Sight(
             name=self._me,
             revision=facts.revision,
-            live=live & frozenset(self._replica.node.raft.membership.voters),
+            live=live & frozenset(m.id for m in self._replica.node.raft.membership.members),
             demands=self._replica.demands(),
             waits=waits,
         )
--- a/harepick/fleet/maintenance/steward.py
+++ b/harepick/fleet/maintenance/steward.py
@@ -18,7 +18,7 @@
 from harepick.fleet.maintenance.rule import Plan, Sight, decide, why
 from harepick.log import Log
 from harepick.store.machine import Envelope, Ordered
-from harepick.store.raft.core import BusyError, NotLeaderError
+from harepick.store.raft.core import BadChangeError, BusyError, NotLeaderError
 from harepick.store.replica import Replica, StoreUnavailableError
 
 EVERY = 0.1  # seconds between two looks, if nothing wakes it
@@ -75,7 +75,7 @@
             try:
                 await self._own_part()
                 await self._turn()
-            except (NotLeaderError, BusyError, StoreUnavailableError):
+            except (NotLeaderError, BusyError, BadChangeError, StoreUnavailableError):
                 self._counters.add("maint.not_proposed")  # another leads, or comes to: it looks for itself
             await anyio.sleep(REST)
             await self._replica.changed(EVERY)
@@ -108,8 +108,8 @@
         if order.state == "leaving" and not order.idle and facts and facts.idle:
             self._replica.suggest(Envelope("", 0, Idle(order.id, self._me)))
         if leases := self._replica.leases():  # it leads
-            live, _ = leases
-            heirs = sorted(live - self.orders.barred(CONTROLLER) - {self._me})
+            able = leases[0] & frozenset(self._replica.node.raft.membership.voters)  # a learner can't lead
+            heirs = sorted(able - self.orders.barred(CONTROLLER) - {self._me})
             if heirs:
                 self._log.event("maint_hand_over", to=heirs[0], order=order.id)
                 await self._replica.transfer(heirs[0], HAND_OVER)
--- a/harepick/store/node.py
+++ b/harepick/store/node.py
@@ -388,12 +388,12 @@
         """A new revision, new orders, shares or verdicts take effect here, and the leader hears of it."""
         latest, versions = self.machine.latest, self.machine.news
         news = False
+        if versions != self._news:  # first, so that a revision takes effect under them at once
+            self._news, news = versions, True
+            self._follow(self.machine)
         if latest and latest.number != self._revision:
             self._revision, news = latest.number, True
             self._adopt(latest)
-        if versions != self._news:
-            self._news, news = versions, True
-            self._follow(self.machine)
         if news and self.raft.leader and self.raft.leader != self.name:
             self._out.append((self.raft.leader, Adopted(self.machine.applied)))
         self.lease.applied(self.machine.applied)
--- /dev/null
+++ b/tests/test_enum_start.py
@@ -0,0 +1,71 @@
+"""The ENUM front as it comes up, with the store's configuration arriving in the middle of it."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import pytest
+from anyio.to_thread import run_sync
+
+from harepick import interface as i
+from harepick.counters import Counters
+from harepick.directory import Row
+from harepick.enumdns.service import EnumFront, server_name
+from harepick.fleet.ports import free_port
+from harepick.log import Log
+from harepick.settings import Enum, address, read_shared
+from harepick.store.attach import NOTHING
+from tests.dnspeers import Client, Upstream
+
+
+@pytest.mark.parametrize("when", ["create_tcp_listener", "create_udp_socket"])
+def test_a_configuration_that_comes_while_the_sockets_are_opened_is_served(
+    when: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """With the pool as it was remembered, and one of its servers draining."""
+    upstream, port = Upstream(), free_port()
+    own = {"listen": f"127.0.0.1:{port}"}
+    text = (
+        '[[upstream]]\nname = "north"\naddress = "127.0.0.1:9"\ndraining = true\n'
+        f'[[upstream]]\nname = "south"\naddress = "127.0.0.1:{upstream.port}"\n'
+    )
+    latest = read_shared(text, own)
+    front = EnumFront(read_shared(NOTHING, own), Counters(), Log())
+    true: Callable[..., Awaitable[Any]] = getattr(anyio, when)
+
+    async def opening(**arguments: Any) -> Any:
+        if front.members == 0:
+            front.remember(rows(latest))
+            front.apply(latest)
+        return await true(**arguments)
+
+    monkeypatch.setattr(anyio, when, opening)
+    served: list[int] = []
+
+    async def play() -> None:
+        stop = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(front.run, stop)
+            client = Client(port)
+            for n in range(10):
+                answer = await run_sync(client.ask, f"{n}.4.3.2.1.1.1.4.9.e164.arpa.")
+                served.append(answer.rcode())
+            assert front.members == 2
+            tasks.cancel_scope.cancel()
+
+    anyio.run(play)
+    upstream.close()
+    assert served == [0] * 10
+
+
+def rows(config: Enum) -> list[Row]:
+    """As the pool view has them."""
+    return [
+        Row(
+            i.ServerEntry(server_name(u.name, u.address), n, "draining" if u.draining else "ready"),
+            address(str(u.address), "view.address"),
+        )
+        for n, u in enumerate(config.upstreams)
+    ]
--- a/tests/test_maint_daemons.py
+++ b/tests/test_maint_daemons.py
@@ -78,7 +78,9 @@
         assert shown["reason"] == "disks"
         figures = ops_call(ops, "/api/telemetry")[1].decode()
         assert 'downstream_requests_total{lane="look-up",result="completed"}' in figures
-        assert "edge_gw_members 2.0" in figures
+        assert "edge_gw_members 2.0" in figures, [
+            line for line in figures.splitlines() if line[0] != "#"
+        ] + daemon.log.read_text().splitlines()[-25:]
         assert daemon.stop() == 0
     finally:
         cluster.end()
@@ -90,3 +92,28 @@
     cluster = Cluster(1, tmp_path, config_text(("north", 1)))
     for window, why in (("tomorrow", "no FROM/TO"), ("x/y", "--window"), ("2026-02-01/2026-01-01", "closes")):
         assert why in cluster.tool("maint", "request", "north", "--window", window, code=2)
+
+
+def test_a_leader_that_is_asked_out_hands_over_first_and_is_out(tmp_path: Path) -> None:
+    upstream = Upstream()
+    cluster = Cluster(3, tmp_path, config_text(("north", upstream.port)))
+    try:
+        cluster.start()
+        leader = cluster.leader()
+        for daemon in cluster.daemons:
+            until(lambda d=daemon: d.events("store_adopted"), why="the configuration")  # type: ignore[misc]
+        cluster.ask("maint", "request", f"controller:{leader.name}")
+        until(lambda: states(cluster) == {f"controller:{leader.name}": "out"}, 20.0, "the leader out")
+        assert leader.events("maint_hand_over")[0]["to"] in {d.name for d in cluster.daemons} - {leader.name}
+        assert leader.up and cluster.leader() is not leader
+        answer = Client(leader.dns_port).ask()
+        assert "stay away" in answer.to_text(), "a controller that is out took a look-up"
+        assert leader.stop() == 0
+        leader.start()
+        cluster.ask("maint", "done", "1")
+        until(lambda: leader.events("serving")[1:], why="the restart")
+        client = Client(leader.dns_port)
+        until(lambda: client.ask().rcode() == 0, 15.0, "the controller back")
+    finally:
+        cluster.end()
+        upstream.close()
