Limit the calls under way at a server over the fleet

Change: [[limit]] with server and concurrent, shared in whole ones; what is taken is settled only after a deadline has passed, a process that has just started waits as long; the module is told how many it may still send there as a server tells its free agents (word Allot), and decides where calls go instead. Scenario lost-folder, answer_ms of stand-in servers, check concurrency; the double borrow takes room, turns and tokens that are not its own. A controller that is leaving or out holds no shares.

Found on the way: a new generation of the core began with no bound until the next telling (0.25 s), 9 calls under way of 6; it is told before its first look-up now.

--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -18,6 +18,7 @@
 from harepick.core.ledger import Entry, Ledger
 from harepick.core.timers import Timers
 from harepick.core.words import (
+    Allot,
     Answered,
     Attempt,
     AttemptOver,
@@ -101,6 +102,10 @@
     def unavailable(self) -> int:
         return len(self.avoided)
 
+    def under_way(self, server: str) -> int:
+        """Calls that are out at that server, or stand there."""
+        return self._ledger.under_way(server)
+
     @property
     def owing(self) -> int:
         """Calls that still wait for their final answer."""
@@ -184,6 +189,10 @@
             case ServerDied(server, at):
                 stood = [e for e in self._ledger.standing(server) if e.stood <= at]
                 return [self._fall(entry, now, i.Outcome.RESET) for entry in stood]
+            case Allot(server, room):
+                # Told as a server tells its free agents: the module counts on from there.
+                free = room - self._ledger.under_way(server)
+                return [i.Probed(server, i.Outcome.OK, 0.0, {"free": free})]
             case Retune(settings):
                 self._settings = settings
                 self._counters.add("core.retuned")
--- a/harepick/core/ledger.py
+++ b/harepick/core/ledger.py
@@ -60,6 +60,14 @@
         """Calls owed their final answer or standing."""
         return sum(1 for e in self._calls.values() if not e.answered or e.standing_at is not None)
 
+    def under_way(self, server: str) -> int:
+        """Calls with an attempt out at that server, or standing there."""
+        return sum(
+            1
+            for entry in self._calls.values()
+            if entry.standing_at == server or (entry.out is not None and entry.out.server == server)
+        )
+
     def unanswered(self) -> list[Entry]:
         return [entry for entry in self._calls.values() if not entry.answered]
 
--- a/harepick/core/words.py
+++ b/harepick/core/words.py
@@ -158,6 +158,14 @@
     event: i.ServerList | i.Probed
 
 
+@dataclass(slots=True)
+class Allot:
+    """So many calls may be under way at a server from here; infinitely many: no bound."""
+
+    server: str
+    room: float
+
+
 @dataclass(slots=True)
 class Retune:
     """Settings read again at SIGHUP: for what arrives from now on."""
@@ -165,4 +173,4 @@
     settings: i.Settings
 
 
-Word = Offer | CallerGone | Answered | AttemptOver | CallOver | ServerDied | Told | Retune
+Word = Offer | CallerGone | Answered | AttemptOver | CallOver | ServerDied | Told | Allot | Retune
--- a/harepick/enumdns/service.py
+++ b/harepick/enumdns/service.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Sequence
 from dataclasses import replace
+from math import inf
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,7 +21,7 @@
 from harepick import interface as i
 from harepick.core.engine import Engine
 from harepick.core.inbox import Inbox
-from harepick.core.words import Gate, Screen, Told
+from harepick.core.words import Allot, Gate, Screen, Told
 from harepick.counters import Counters
 from harepick.directory import Directory, Row
 from harepick.enumdns.front import Front, Serving
@@ -117,6 +118,7 @@
         self._front: Front | None = None
         self._screen: GapScreen | None = None  # number gapping, once gaps are configured
         self._outer = outer
+        self._rooms: dict[str, float] = {}  # upstream's name -> look-ups that may be under way there
         self.owns: Owner | None = None  # over a fleet: whose turn a gap's slot is
 
     def _screen_gaps(self, config: Enum) -> str | None:
@@ -147,6 +149,28 @@
         """No look-up is under way."""
         return all(generation.engine.idle for generation in self._generations)
 
+    def allot(self, name: str, room: float) -> None:
+        """So many look-ups may be under way at the upstream of that name, at all addresses it has had and
+        in all generations; the newest generation gets what the others leave."""
+        self._rooms[name] = room
+        if room == inf:
+            del self._rooms[name]
+        if not self._generations:
+            return
+        servers = [server for server in self._numbers if server.partition("@")[0] == name]
+        now = [e.server for e in self.directory.entries() if e.server in servers and e.state != "gone"]
+        newest = self._generations[-1]
+        elsewhere = 0
+        for generation in self._generations[:-1]:
+            for server in servers:
+                elsewhere += generation.engine.under_way(server)
+                generation.inbox.tell(Allot(server, 0.0 if room < inf else inf))
+        for server in servers:
+            if server not in now:
+                elsewhere += newest.engine.under_way(server)
+        for server in now:
+            newest.inbox.tell(Allot(server, max(0.0, room - elsewhere)))
+
     @property
     def pending(self) -> int:
         """Look-ups taken and not ended."""
@@ -239,6 +263,8 @@
                 self.apply(latest)
                 # What was remembered meanwhile may have missed the core: it hears the whole list anew.
                 first.told(i.ServerList(i.ListKind.ALL, self.directory.entries()))
+            for name, room in list(self._rooms.items()):
+                self.allot(name, room)
             tasks.start_soon(self._follow, tasks)
             tasks.start_soon(front.serve_udp, sock)
             tasks.start_soon(listener.serve, front.serve_tcp)
@@ -270,6 +296,8 @@
             await tasks.start(generation.run, i.ServerList(i.ListKind.ALL, self.directory.entries()))
             old = self._generations[-1]
             self._generations.append(generation)
+            for name, room in list(self._rooms.items()):  # before its first look-up
+                self.allot(name, room)
             self._front.follow(self._serving(self._config, generation))
             self._counters.add("enum.generations")
             self._log.event("new_generation", deadline=config.deadline, open_cap=config.open_lookups)
--- a/harepick/fleet/checks.py
+++ b/harepick/fleet/checks.py
@@ -397,6 +397,27 @@
     return finding
 
 
+def concurrency(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """Never more than `most` calls are under way at server `s<server>`, as it sees it itself."""
+    finding = Finding()
+    name = f"s{arguments['server']:g}"
+    under_way: list[Event] = []
+    highest = 0
+    for event in _of(events, "arrived", "answered"):
+        if event["server"] != name:
+            continue
+        if event.event == "answered":
+            del under_way[:1]
+            continue
+        under_way.append(event)
+        highest = max(highest, len(under_way))
+        if len(under_way) > arguments["most"]:
+            why = f"{len(under_way)} calls under way at {name}, {arguments['most']:g} may be"
+            finding.against("concurrency", why, *under_way)
+    finding.figures = {"most_under_way": highest}
+    return finding
+
+
 CHECKS: dict[str, Check] = {
     "no_stale_act": Check(no_stale_act),
     "no_stale_arrival": Check(no_stale_arrival),
@@ -408,6 +429,7 @@
     "most_out": Check(most_out, ("servers", "controllers")),
     "no_fresh_to_out": Check(no_fresh_to_out),
     "admissions": Check(admissions, ("per_s", "window_s", "epsilon")),
+    "concurrency": Check(concurrency, ("server", "most")),
     "one_pass_a_slot": Check(one_pass_a_slot, ("most",)),
     "verdict_staleness": Check(verdict_staleness, ("bound_s",)),
 }
--- a/harepick/fleet/child.py
+++ b/harepick/fleet/child.py
@@ -44,10 +44,12 @@
 
 
 def _borrow() -> None:
-    """Breaks: an instance spends only the share that it holds, and only the turns that it owns."""
+    """Breaks: an instance spends only what it holds: its share, its turns, its room at a server."""
+    from harepick.enumdns.service import EnumFront
     from harepick.fleet.limits.purse import Bucket
     from harepick.gapping.turns import Turns
 
+    EnumFront.allot = lambda self, name, room: None  # type: ignore[method-assign]
     Bucket.has = lambda self, now: True  # type: ignore[method-assign]
     Turns.owns = lambda self, gap, slot: True  # type: ignore[method-assign]
 
--- a/harepick/fleet/limits/purse.py
+++ b/harepick/fleet/limits/purse.py
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Limit:
-    """One `[[limit]]`: what it counts, and how much of it may be."""
+    """One `[[limit]]`: what it counts, and how much of it may be over the fleet."""
 
     id: str
     per_s: float
@@ -28,9 +28,12 @@
     callers: tuple[str, ...] = ()  # networks of caller addresses, all of them counted together
     call_class: str = ""
     reason: str = ""
+    server: str = ""  # its `per_s` is calls under way at this server instead, a whole number
 
     def meets(self, called: str, class_name: str, source: str) -> bool:
-        """Whether a call counts; every criterion that is given has to."""
+        """Whether a call needs a token; every criterion that is given has to fit."""
+        if self.server:
+            return False  # it is kept by the module, which is told how many may be under way
         if self.call_class and class_name != self.call_class:
             return False
         if self.prefixes and not called.startswith(self.prefixes):
@@ -144,7 +147,12 @@
     ) -> tuple[float | None, Sequence[str]]:
         """None and the limits that the call was counted against, or the seconds to stay away and the limits
         that it met. It takes a token of each, or none."""
-        met = [use for use in self._uses.values() if use.limit.meets(called, class_name, source)]
+        met = []
+        for use in self._uses.values():
+            if use.limit.server:
+                use.offered += 1  # every call may go there
+            elif use.limit.meets(called, class_name, source):
+                met.append(use)
         missing = []
         for use in met:
             use.offered += 1
--- a/harepick/fleet/limits/rule.py
+++ b/harepick/fleet/limits/rule.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from math import floor
 
 from harepick.fleet.limits.shares import Holding, LimitCommand, Settle, Shares, Split
 
@@ -24,6 +25,19 @@
     live: frozenset[str]
     demands: Mapping[str, Mapping[str, float]]  # instance -> limit -> calls offered a second, lately
     waits: Callable[[int], list[str]]
+    whole: frozenset[str] = frozenset()  # limits on calls under way: counted in whole ones
+    rested: Callable[[str, int], bool] = lambda limit, index: True
+    """Whether calls that began before that entry have ended by now; of a rate, always."""
+
+
+def whole_targets(budget: float, live: frozenset[str], demand: Mapping[str, float]) -> dict[str, float]:
+    """As `targets`, in whole ones: the largest remainders get what rounding leaves."""
+    exact = targets(budget, live, demand)
+    found = {name: float(floor(share)) for name, share in exact.items()}
+    left = round(budget - sum(found.values()))
+    for name in sorted(exact, key=lambda n: (found[n] - exact[n], n))[:left]:
+        found[name] += 1.0
+    return found
 
 
 def targets(budget: float, live: frozenset[str], demand: Mapping[str, float]) -> dict[str, float]:
@@ -42,7 +56,7 @@
 def decide(shares: Shares, budgets: Mapping[str, float], sight: Sight) -> LimitCommand | None:
     """The one step that is due; None: nothing is. `budgets`: the limits of the configuration."""
     for limit, known in shares.limits.items():
-        if known.owed and not sight.waits(known.index):
+        if known.owed and not sight.waits(known.index) and sight.rested(limit, known.index):
             return Settle(limit, known.version, sight.name)
         if limit not in budgets and known.shares:
             return Split(limit, 0.0, {}, known.version, sight.revision, sight.name)
@@ -51,7 +65,10 @@
     for limit, budget in budgets.items():
         known = shares.get(limit)
         demand = {name: row.get(limit, 0.0) for name, row in sight.demands.items()}
-        wanted = _next(known, budget, targets(budget, sight.live, demand))
+        if limit in sight.whole:
+            wanted = _next_whole(known, budget, whole_targets(budget, sight.live, demand))
+        else:
+            wanted = _next(known, budget, targets(budget, sight.live, demand))
         changed = sum(abs(wanted.get(n, 0.0) - known.shares.get(n, 0.0)) for n in wanted | known.shares)
         if budget != known.budget or changed > budget * WORTH:
             return Split(limit, budget, wanted, known.version, sight.revision, sight.name)
@@ -74,3 +91,19 @@
         for name, want in wants.items():
             found[name] += want * part
     return {name: share for name, share in found.items() if share > 0}
+
+
+def _next_whole(known: Holding, budget: float, target: Mapping[str, float]) -> dict[str, float]:
+    """As `_next`, in whole ones: what is free goes one by one to whoever lacks most."""
+    found: dict[str, float] = {}
+    room = budget
+    for name in target.keys() | known.shares.keys() | known.owed.keys():
+        found[name] = min(target.get(name, 0.0), known.ceiling(name))
+        room -= known.ceiling(name)
+    while room >= 1.0:
+        name = max(sorted(found), key=lambda n: target.get(n, 0.0) - found[n], default="")
+        if not name or target.get(name, 0.0) - found[name] < 1.0:
+            break
+        found[name] += 1.0
+        room -= 1.0
+    return {name: share for name, share in found.items() if share > 0}
--- a/harepick/fleet/limits/settings.py
+++ b/harepick/fleet/limits/settings.py
@@ -4,7 +4,7 @@
 
 import ipaddress
 import re
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from dataclasses import dataclass
 from typing import Any
 
@@ -12,7 +12,8 @@
 from harepick.fleet.limits.shares import MOST_LIMITS
 from harepick.settings import SettingsError
 
-LIMIT_KEYS = {"id", "per_s", "burst_s", "prefix", "prefixes", "callers", "class", "reason"}
+CONCURRENT_KEYS = {"id", "server", "concurrent", "reason"}
+RATE_KEYS = {"id", "per_s", "burst_s", "prefix", "prefixes", "callers", "class", "reason"}
 ID = re.compile(r"[0-9A-Za-z][0-9A-Za-z._-]{0,63}$")
 PREFIX = re.compile(r"\+[0-9]{1,15}$")
 MOST_LIST = 64  # prefixes, or networks, of one limit
@@ -61,8 +62,8 @@
         raise _bad(key, f"is no network of addresses: {text!r}") from None
 
 
-def read_limits(rows: Any) -> tuple[Limit, ...]:
-    """Raises `SettingsError`."""
+def read_limits(rows: Any, servers: Set[str] = frozenset()) -> tuple[Limit, ...]:
+    """`servers`: names of the configuration's upstreams. Raises `SettingsError`."""
     if not isinstance(rows, list):
         raise _bad("limit", f"makes no sense: {rows!r}")
     if len(rows) > MOST_LIMITS:
@@ -72,19 +73,40 @@
         key = f"limit[{n}]"
         if not isinstance(row, Mapping):
             raise _bad(key, f"makes no sense: {row!r}")
-        for name in sorted(row.keys() - LIMIT_KEYS):
+        for name in sorted(row.keys() - CONCURRENT_KEYS - RATE_KEYS):
             raise _bad(f"{key}.{name}", "is not known")
-        limit = _limit(row, key)
+        limit = _concurrent(row, key, servers) if "server" in row else _limit(row, key)
         if limit.id in limits:
             raise _bad(f"{key}.id", f"is there twice: {limit.id!r}")
+        if limit.server and any(known.server == limit.server for known in limits.values()):
+            raise _bad(f"{key}.server", f"has a limit already: {limit.server!r}")
         limits[limit.id] = limit
     return tuple(limits.values())
 
 
-def _limit(row: Mapping[str, Any], key: str) -> Limit:
+def _id(row: Mapping[str, Any], key: str) -> str:
     name = row.get("id")
     if not isinstance(name, str) or not ID.match(name):
         raise _bad(f"{key}.id", f"is no name of letters, digits, '.', '_' and '-': {name!r}")
+    return name
+
+
+def _concurrent(row: Mapping[str, Any], key: str, servers: Set[str]) -> Limit:
+    """Calls under way at one server."""
+    for name in sorted(row.keys() - CONCURRENT_KEYS):
+        raise _bad(f"{key}.{name}", "does not go with server")
+    server, most = row["server"], row.get("concurrent")
+    if server not in servers:
+        raise _bad(f"{key}.server", f"names no upstream: {server!r}")
+    if isinstance(most, bool) or not isinstance(most, int) or not 0 <= most <= 1_000_000:
+        raise _bad(f"{key}.concurrent", f"is no whole number from 0 on: {most!r}")
+    return Limit(_id(row, key), float(most), server=server, reason=_text(row, "reason", key))
+
+
+def _limit(row: Mapping[str, Any], key: str) -> Limit:
+    name = _id(row, key)
+    if "concurrent" in row:
+        raise _bad(f"{key}.server", "is missing")
     prefixes = [*_list(row, "prefixes", key), *([row["prefix"]] if "prefix" in row else [])]
     for prefix in prefixes:
         if not isinstance(prefix, str) or not PREFIX.match(prefix):
--- a/harepick/fleet/limits/steward.py
+++ b/harepick/fleet/limits/steward.py
@@ -14,9 +14,11 @@
 from harepick.fleet.limits.purse import Limit, Purse
 from harepick.fleet.limits.rule import Sight, decide
 from harepick.fleet.limits.settings import VerdictPlan
-from harepick.fleet.limits.shares import Split
+from harepick.fleet.limits.shares import MOST_LIMITS, Split
 from harepick.fleet.limits.verdicts import FAILED, Judge, Lift
+from harepick.fleet.maintenance.orders import CONTROLLER
 from harepick.log import Log
+from harepick.store.fence import SLACK
 from harepick.store.machine import Done, Envelope, Shared
 from harepick.store.raft.core import BusyError, NotLeaderError
 from harepick.store.replica import Replica, StoreUnavailableError, clock
@@ -35,6 +37,7 @@
     limits: tuple[Limit, ...]
     plan: VerdictPlan
     avoided: frozenset[str]  # servers that the module avoids now, by name
+    longest: float  # seconds that a call may be under way
 
 
 class LimitSteward:
@@ -55,6 +58,7 @@
         self._since: dict[str, float] = {}  # server -> avoided here since
         self._judged: dict[str, float] = {}  # server -> when this instance judged it last
         self._seen: dict[tuple[int, int], float] = {}  # verdict and its version -> when first seen leading
+        self._resting: dict[tuple[str, int], float] = {}  # limit and entry -> since when nobody waits for it
 
     async def run(self) -> None:
         """Until cancelled."""
@@ -72,15 +76,19 @@
         facts, leases = self._facts(), self._replica.leases()
         if facts is None or leases is None:
             self._seen.clear()
+            self._resting.clear()
             return
         machine = self._replica.node.machine
         live, waits = leases
+        members = frozenset(m.id for m in self._replica.node.raft.membership.members)
         sight = Sight(
             name=self._me,
             revision=facts.revision,
-            live=live & frozenset(m.id for m in self._replica.node.raft.membership.members),
+            live=live & members - machine.orders.barred(CONTROLLER),
             demands=self._replica.demands(),
             waits=waits,
+            whole=frozenset(limit.id for limit in facts.limits if limit.server),
+            rested=lambda limit, index: self._rested(limit, index, facts),
         )
         budgets = {limit.id: limit.per_s for limit in facts.limits}
         step = decide(machine.shares, budgets, sight) or self._over()
@@ -97,6 +105,15 @@
         elif isinstance(step, Lift):
             self._counters.add("limits.lifts")
 
+    def _rested(self, limit: str, index: int, facts: Facts) -> bool:
+        """Calls under way when a share was taken end within their deadline; a clock may be fast."""
+        if not any(known.id == limit and known.server for known in facts.limits):
+            return True
+        since = self._resting.setdefault((limit, index), clock())
+        while len(self._resting) > MOST_LIMITS:
+            del self._resting[next(iter(self._resting))]
+        return clock() - since >= facts.longest * SLACK
+
     def _over(self) -> Lift | None:
         """The next verdict whose time is over, counted from when this leader first saw it."""
         now = clock()
@@ -138,6 +155,7 @@
                 {
                     "id": limit.id,
                     "per_s": limit.per_s,
+                    "server": limit.server,
                     "burst_s": limit.burst_s,
                     "reason": limit.reason,
                     "shares": holding.shares,
--- a/harepick/fleet/play.py
+++ b/harepick/fleet/play.py
@@ -129,7 +129,7 @@
         tasks = self._tasks
         await tasks.start(self.keeper.run)
         await tasks.start(self.relay.run)
-        self._servers = StandIns(self.scenario.servers, self.history)
+        self._servers = StandIns(self.scenario.servers, self.history, self.scenario.answer)
         await tasks.start(self._servers.run)
         await self._set_up()
         for instance in self.instances.values():
@@ -174,9 +174,10 @@
             for asker in self._askers:
                 tasks.start_soon(asker.finish)
         await self._tell_kept()
-        for instance in self.instances.values():
-            self._note("stop", instance)
-            await instance.kill(self.keeper, signal.SIGTERM)
+        async with anyio.create_task_group() as stops:
+            for instance in self.instances.values():
+                self._note("stop", instance)
+                stops.start_soon(instance.kill, self.keeper, signal.SIGTERM)
 
     async def _run_beside(self, finished: anyio.Event) -> None:
         if self._beside:
--- a/harepick/fleet/scenario.py
+++ b/harepick/fleet/scenario.py
@@ -26,7 +26,7 @@
 NAMES = "abcdefghi"
 ROLES = ("leader", "follower", "any")
 RATE_SKEW = (0.5, 2.0)  # clock rates that make sense to try
-START = {"scenario", "instances", "servers", "relay_servers", "lease_ms", "seconds"}
+START = {"scenario", "instances", "servers", "relay_servers", "answer_ms", "lease_ms", "seconds"}
 SECTIONS = START | {"about", "load", "change", "fault", "checks", "clock_rate", "double", "settings"}
 
 Time = float | tuple[float, float]
@@ -92,6 +92,7 @@
     instances: int = 3
     servers: int = 3
     relay_servers: bool = False  # links from the instances to the stand-in servers go through the relay too
+    answer: float = 0.0  # seconds that a stand-in server takes for an answer
     lease: float = 1.5
     seconds: float = 20.0
     about: str = ""
@@ -186,6 +187,7 @@
         instances=instances,
         servers=servers,
         relay_servers=relayed,
+        answer=_number(table, "answer_ms", "", 0.0, 0.0, 10_000.0) / 1000.0,
         lease=_number(table, "lease_ms", "", 1500, 500, 60_000) / 1000.0,
         seconds=seconds,
         about=_word(table, "about", ""),
--- a/harepick/settings.py
+++ b/harepick/settings.py
@@ -406,17 +406,17 @@
         routes=_routes(table.get("route", []), {u.name for u in upstreams}),
         gaps=_gaps(table.get("gap"), "gap", "e164"),
         maintenance=_maintenance(table.get("maintenance"), {u.name for u in upstreams}),
-        limits=_limits(table.get("limit")),
+        limits=_limits(table.get("limit"), {u.name for u in upstreams}),
         verdicts=_verdicts(table.get("verdicts")),
     )
 
 
-def _limits(rows: Any) -> tuple[Any, ...]:
+def _limits(rows: Any, servers: set[str]) -> tuple[Any, ...]:
     if rows is None:
         return ()
     from harepick.fleet.limits.settings import read_limits
 
-    return read_limits(rows)
+    return read_limits(rows, servers)
 
 
 def _verdicts(table: Any) -> Any:
--- a/harepick/store/attach.py
+++ b/harepick/store/attach.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Mapping
 from dataclasses import replace
-from math import floor
+from math import floor, inf
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -42,6 +42,7 @@
 from harepick.log import Log
 from harepick.settings import OWN_KEYS, Address, Enum, SettingsError, address, read_shared, read_toml
 from harepick.store.disk.files import StorageError
+from harepick.store.fence import SLACK
 from harepick.store.machine import AskTurns, Conflict, Done, Envelope, Machine, Put, Revision, View, ViewRow
 from harepick.store.operators import Operators
 from harepick.store.raft.core import BusyError, NotLeaderError
@@ -54,6 +55,7 @@
 
 VIEW_EVERY = 1.0  # seconds between two writes of the pool view
 FIRST_EVERY = 0.5  # between two tries to write the first configuration
+ALLOT_EVERY = 0.25  # seconds between two tellings of how many calls may be under way at limited servers
 TURNS_EVERY = 0.05  # seconds between two looks at the turns of gaps
 HISTORY_EVERY = 1.0  # between two looks at the role, if nothing wakes the watch
 # Until a configuration is known: everything is refused with a time to come back, as the gate is shut.
@@ -94,6 +96,9 @@
         self._judged: frozenset[str] = frozenset()  # servers under a verdict, by name
         self._verdicts = 0  # version of the list that is followed
         self._holding: set[int] = set()  # numbers of those on it
+        self._bound: set[str] = set()  # servers with a limit on calls under way, by name
+        self._unbound: set[str] = set()  # those that had one
+        self._began = clock()
         try:
             self.replica.open()
         except StorageError as error:
@@ -135,6 +140,7 @@
         shares = self.replica.node.machine.shares
         me = self.settings.replica
         self.purse.hold({limit.id: shares.share(limit.id, me) for limit in config.limits}, clock())
+        self._unbound |= self._bound - {limit.server for limit in config.limits if limit.server}
         self._revision = revision.number
         if not self._remembered:
             self._remembered = True
@@ -150,6 +156,7 @@
         no more is admitted than the shares."""
         me = self.settings.replica
         self.purse.hold({name: h.shares.get(me, 0.0) for name, h in machine.shares.limits.items()}, clock())
+        self._allot()
         if machine.verdicts.version != self._verdicts:
             self._follow_verdicts(machine.verdicts)
         if machine.orders.version != self._orders:
@@ -191,7 +198,34 @@
         """The configuration as the orders leave it: at once for the last look, and told to the core."""
         if self._config is None:
             return
-        config = with_barred(self._config, self._barred)
+        self._apply_barred(self._config)
+        self._allot()  # after the list: a server with a new address is told how much it may get
+
+    def _allot(self) -> None:
+        """Limits on calls under way, as the module hears of free agents. A process that has just started
+        waits: calls of the one before it may be under way."""
+        config = self._config
+        if config is None:
+            return
+        shares, me = self.replica.node.machine.shares, self.settings.replica
+        young = clock() - self._began < config.deadline * SLACK
+        for name in self._unbound:
+            self.front.allot(name, inf)
+        self._unbound = set()
+        self._bound = {limit.server for limit in config.limits if limit.server}
+        for limit in config.limits:
+            if limit.server:
+                self.front.allot(limit.server, 0.0 if young else shares.share(limit.id, me))
+
+    async def _allot_again(self) -> None:
+        """As old generations end, and once this process is no longer young."""
+        while True:
+            await anyio.sleep(ALLOT_EVERY)
+            if self._bound:
+                self._allot()
+
+    def _apply_barred(self, config: Enum) -> None:
+        config = with_barred(config, self._barred)
         judged = with_barred(config, self._judged)
         if ready_servers(judged):  # what one controller sees must not stop the fleet
             config = judged
@@ -223,6 +257,7 @@
             limits=config.limits,
             plan=config.verdicts or VerdictPlan(),
             avoided=frozenset(u.name for u in ready if server_name(u.name, u.address) in avoided),
+            longest=config.deadline,
         )
 
     def _passed(self, called: str, now: float) -> None:
@@ -275,6 +310,7 @@
             tasks.start_soon(self.steward.run)
             tasks.start_soon(self.limits.run)
             tasks.start_soon(self._ask_turns)
+            tasks.start_soon(self._allot_again)
             tasks.start_soon(self._tell_view)
             if self._history:
                 tasks.start_soon(self._tell_history, self._history)
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from harepick.fleet.limits.purse import Bucket, Limit, Purse, within
-from harepick.fleet.limits.rule import RESERVE, Sight, decide, targets
+from harepick.fleet.limits.rule import RESERVE, Sight, decide, targets, whole_targets
 from harepick.fleet.limits.screen import FleetScreen
 from harepick.fleet.limits.shares import RefusedSplitError, Settle, Shares, Split
 from harepick.fleet.limits.verdicts import BLOCKED, FAILED, Judge, Lift, Verdicts
@@ -277,3 +277,46 @@
     with pytest.raises(SettingsError, match="setting limit belongs in the store's configuration"):
         read_operator(str(path))
     assert read_shared(path.read_text()).limits == (Limit("x", 1.0, prefixes=("+94",)),)
+
+
+# Calls under way
+
+
+def test_room_at_a_server_is_shared_in_whole_ones_and_rests_before_it_moves() -> None:
+    shares = Shares()
+
+    def seen(demand: dict[str, float], rested: bool) -> Sight:
+        base = sight(demand)
+        return Sight("a", 1, LIVE, base.demands, base.waits, frozenset({"x"}), lambda limit, index: rested)
+
+    settle(shares, seen({"a": 80.0, "b": 10.0, "c": 10.0}, True), budget=7.0)
+    held = shares.get("x").shares
+    assert sum(held.values()) == 7.0 and all(share == int(share) for share in held.values())
+    assert held["a"] >= 5.0
+    settle(shares, seen({"c": 80.0}, False), budget=7.0)
+    moving = shares.get("x")
+    assert moving.shares.get("c", 0.0) <= held["c"], "calls of another may still be under way there"
+    settle(shares, seen({"c": 80.0}, True), budget=7.0)
+    assert shares.get("x").shares["c"] >= 6.0 and not shares.get("x").owed
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(demand=st.dictionaries(st.sampled_from(NAMES), st.floats(0, 1e4)), budget=st.integers(0, 500))
+def test_whole_targets_are_the_whole_budget(demand: dict[str, float], budget: int) -> None:
+    found = whole_targets(float(budget), LIVE, demand)
+    assert sum(found.values()) == budget and all(share == int(share) >= 0 for share in found.values())
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ('server = "s9"\nconcurrent = 4', "server"),
+        ('server = "s0"\nconcurrent = 1.5', "concurrent"),
+        ('server = "s0"', "concurrent"),
+        ('server = "s0"\nconcurrent = 4\nper_s = 1', "per_s"),
+        ('concurrent = 4\nprefix = "+94"\nper_s = 1', "server"),
+    ],
+)
+def test_a_faulty_limit_on_calls_under_way_names_its_key(text: str, key: str) -> None:
+    with pytest.raises(SettingsError, match=rf"setting limit\[0\]\.{key} "):
+        read_shared(SHARED + f'[[limit]]\nid = "x"\n{text}\n')
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -188,6 +188,7 @@
     ("no_fresh_to_out", at(3.25, "rig", "arrived", server="s0", revision=2)),
     ("no_fresh_to_out", at(3.25, "a", "left", server="s1@1", revision=2, orders=1)),
     ("verdict_staleness", at(8.9, "b", "left", server="s8@1", revision=9, orders=4)),
+    ("concurrency", [at(6.2 + n / 100, "rig", "arrived", server="s1", revision=9) for n in range(2)]),
     ("one_pass_a_slot", at(6.1, "b", "passed", gap="radio", slot=7)),
     ("admissions", [at(5.5 + n / 100, "b", "admitted", limit="x") for n in range(2)]),
 ]
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -14,6 +14,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 
+import pytest
+
 from harepick.fleet.ports import free_port
 from harepick.net import binary, sip
 from tests import peers
@@ -85,6 +87,7 @@
         stand(place, caller)  # the platform's front served on
 
 
+@pytest.mark.alone
 def test_a_second_process_takes_over_and_the_first_drains() -> None:
     place = peers.Platform()
     with place.run() as first:
