Test an order without a quorum, and a limit with all links slow

Change: three daemons, a server out, two paused: the one left tells that it is not current and that the server is out, takes no request and no done (exit code 3), refuses look-ups with a time; after the resume the server is still out. A play with 60 to 120 ms on every link: the limit of 30 a second is used by all three instances and kept.

--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -555,3 +555,14 @@
     report = Report("drawn", 1, 2.0, events=events, violations={"x": 1})
     draw(report, tmp_path / "play.png")
     assert (tmp_path / "play.png").read_bytes().startswith(b"\x89PNG")
+
+
+@pytest.mark.fleet
+def test_with_all_links_slow_the_limit_is_used_and_kept(tmp_path: Path) -> None:
+    cut = 'kind = "partition"\ngroups = "{a, b} | {c}"\nat = 3.5\nfor_s = 4.0\n'
+    assert cut in LIMITED
+    slow = 'kind = "link"\nfrom = "*"\nto = "*"\ndelay_ms = 60\njitter_ms = 60\nat = 0.0\nfor_s = 8.0\n'
+    report = play(tmp_path, LIMITED.replace("lease_ms = 600", "lease_ms = 1500").replace(cut, slow))
+    assert report.ok, (report.line(), [v.why for v in report.told][:3])
+    admitted = [e for e in report.events if e.event == "admitted" and 3.0 <= e.mono - report.start < 8.0]
+    assert 75 <= len(admitted) <= 168 and {e.name for e in admitted} == {"a", "b", "c"}
--- a/tests/test_maint_daemons.py
+++ b/tests/test_maint_daemons.py
@@ -117,3 +117,37 @@
     finally:
         cluster.end()
         upstream.close()
+
+
+def test_without_a_quorum_the_order_stops_where_it_is(tmp_path: Path) -> None:
+    north, south = Upstream(), Upstream()
+    cluster = Cluster(3, tmp_path, config_text(("north", north.port), ("south", south.port)), lease_ms=800)
+    try:
+        cluster.start()
+        for daemon in cluster.daemons:
+            until(lambda d=daemon: d.events("store_adopted"), why="the configuration")  # type: ignore[misc]
+        cluster.ask("maint", "request", "north")
+        until(lambda: states(cluster) == {"server:north": "out"}, 15.0, "north out")
+        leader = cluster.leader()  # paused: what it was asked alone it might still carry out later
+        left = next(daemon for daemon in cluster.daemons if daemon is not leader)
+        others = [daemon for daemon in cluster.daemons if daemon is not left]
+        for other in others:
+            other.pause()
+        words = ("maint", "list", "--stale", "--json")
+        until(lambda: not orjson.loads(cluster.ask(*words, at=left))["current"], 10.0, "its knowing so")
+        cluster.ask("maint", "request", "south", "--timeout", "1", code=3, at=left)
+        cluster.ask("maint", "done", "1", "--timeout", "1", code=3, at=left)
+        told = orjson.loads(cluster.ask(*words, at=left))
+        assert [(row["machine"], row["state"]) for row in told["orders"]] == [("server:north", "out")]
+        before = len(north.came())
+        assert "stay away" in Client(left.dns_port).ask().to_text()
+        for other in others:
+            other.resume()
+        until(lambda: cluster.leader(), 15.0, "a leader")
+        client = Client(left.dns_port)
+        until(lambda: client.ask().rcode() == 0, 15.0, "service")
+        assert len(north.came()) == before
+    finally:
+        cluster.end()
+        north.close()
+        south.close()
