Take out two parts of the limits that nothing calls

Seen in a last read: LimitSteward.judge (the desk proposes an operator's verdict itself) and Purse.met have no caller. Change: both are gone.

--- a/harepick/fleet/limits/purse.py
+++ b/harepick/fleet/limits/purse.py
@@ -139,9 +139,6 @@
         for name, use in self._uses.items():
             use.bucket.set(shares.get(name, 0.0), now)
 
-    def met(self, called: str, class_name: str, source: str) -> list[str]:
-        return [n for n, use in self._uses.items() if use.limit.meets(called, class_name, source)]
-
     def spend(
         self, called: str, class_name: str, source: str, now: float
     ) -> tuple[float | None, Sequence[str]]:
--- a/harepick/fleet/limits/steward.py
+++ b/harepick/fleet/limits/steward.py
@@ -19,7 +19,7 @@
 from harepick.fleet.maintenance.orders import CONTROLLER
 from harepick.log import Log
 from harepick.store.fence import SLACK
-from harepick.store.machine import Done, Envelope, Shared
+from harepick.store.machine import Envelope, Shared
 from harepick.store.raft.core import BusyError, NotLeaderError
 from harepick.store.replica import Replica, StoreUnavailableError, clock
 
@@ -140,7 +140,7 @@
                 self._told(judge)
                 self._replica.suggest(Envelope("", 0, judge))
 
-    # What can be seen and asked
+    # What can be seen
 
     def status(self) -> dict[str, Any]:
         """Limits and verdicts as last applied here, with what this instance spent of them."""
@@ -187,9 +187,3 @@
 
     def _leads(self) -> bool:
         return self._replica.leases() is not None
-
-    async def judge(self, judge: Judge, session: str, number: int, within: float) -> int:
-        """An operator's verdict; returns once all that may act honour it. Raises as `Replica.change`."""
-        self._told(judge)
-        answer = await self._replica.change(Envelope(session, number, judge), within)
-        return answer.revision if isinstance(answer, Done) else 0
