Count room at a server before the calls of the same batch, so that it is given once

Cause: in one batch of the core an offer came before the word of how much room there is. The room was counted from the ledger, which had not booked the send yet (the module decides after the whole batch is heard); the module took the place for the call, and was then told that the place was free (core/engine.py, turn and the case of Allot).

Change: words about room are heard first, from the ledger as the module knows it; ends of the same batch still give their places back by themselves.

--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -9,7 +9,7 @@
 
 import time
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import anyio
 
@@ -123,12 +123,18 @@
         self._perform(self._controller.start())
         self.turn([Told(known)])
 
-    def turn(self, words: Iterable[Word]) -> None:
+    def turn(self, words: Sequence[Word]) -> None:
         """One batch."""
         now = self._clock()
         events: list[i.Event] = []
+        # Room first: it is counted from the ledger as the module knows it. Behind a call of the same batch
+        # it would give back the place that the module has taken for that call meanwhile.
         for word in words:
-            events += self._hear(word, now)
+            if isinstance(word, Allot):
+                events += self._hear(word, now)
+        for word in words:
+            if not isinstance(word, Allot):
+                events += self._hear(word, now)
         if self._gate and (wait := self._gate.shut()) is not None:
             events += self._turn_away(wait)
         for item in self._timers.due(now):
--- a/tests/test_long_day.py
+++ b/tests/test_long_day.py
@@ -5,7 +5,7 @@
 from harepick import interface as i
 from harepick.core.engine import Engine
 from harepick.core.inbox import Inbox
-from harepick.core.words import Attempt, AttemptOver, CallerGone, Offer, Told
+from harepick.core.words import Allot, Attempt, AttemptOver, CallerGone, Offer, Told
 from harepick.counters import Counters
 from harepick.directory import MOST_GONE, Directory
 from harepick.log import Log
@@ -77,6 +77,21 @@
     assert not any(server.out for server in core._controller.servers.values())
 
 
+def test_room_told_in_the_batch_of_a_call_gives_that_call_s_place_to_no_other() -> None:
+    """Told after the call it named a place as free that the module had just taken: one too many was out."""
+    core, port = engine()
+    calls = iter([Offer(f"c{n}", "low", 0, None, 103.0, Silent(), b"") for n in range(4)])
+    core.turn([ready("s0"), Allot("s0", 1.0)])
+    core.turn([next(calls), Allot("s0", 1.0)])
+    assert core.under_way("s0") == 1
+    core.turn([next(calls)])
+    assert core.under_way("s0") == 1 and len(port.placed) == 1
+    # The place that an end gives back in that batch is given back once.
+    core.turn([AttemptOver(port.placed[0], i.Outcome.FULL, 3), Allot("s0", 1.0)])
+    core.turn([next(calls), next(calls)])
+    assert core.under_way("s0") <= 1
+
+
 def test_the_list_keeps_few_of_the_servers_that_are_gone() -> None:
     directory = Directory()
     for n in range(1, 400, 2):
