Hand a controller's callers over before it goes out, and play failed servers

Change: fleet/maintenance/handover.py, pure: a controller that leaves says no on /api/ready at once, serves whatever comes for handover_s (1 s by default), then closes, ends what is under way, and is out. Idle is told once closed, never earlier; a process that starts under an order takes nothing; out lets nothing leave any more. Its shares of limits go back once it is idle. The rig: callers that follow readiness (load.follow), servers that fall silent or answer failures, plans that change by turns, and the checks handover, no_fresh_from_out and within_plan, each with a history that breaks it; the double skip-handover. Rejected: sending calls on to a fellow (no such protocol), refusing at once (what stood here).

--- a/harepick/fleet/checks.py
+++ b/harepick/fleet/checks.py
@@ -321,6 +321,94 @@
     return finding
 
 
+def no_fresh_from_out(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """From when the first instance is told that a controller is out until the first is told that it is
+    back, nothing leaves that controller."""
+    finding = Finding()
+    rows = [event for event in _orders(events) if event["machine"].startswith("controller:")]
+    left: dict[str, list[Event]] = defaultdict(list)
+    for event in _of(events, "left"):
+        left[event.name].append(event)
+    spans = 0
+    for out in (event for event in rows if event["state"] == "out"):
+        spans += 1
+        ends = (e.mono for e in rows if e["order"] == out["order"] and e["state"] in ("back", "cancelled"))
+        until, name = next(ends, float("inf")), out["machine"].partition(":")[2]
+        for event in left[name]:
+            if out.mono < event.mono < until:
+                late = (event.mono - out.mono) * 1000
+                why = f"{name} sent {late:.1f} ms after it was out"
+                finding.against("no_fresh_from_out", why, out, event)
+    finding.figures = {"controllers_taken_out": spans, "fresh_calls_from_out_controllers": finding.count}
+    return finding
+
+
+def handover(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """No caller that follows readiness is turned away, or left without an answer, by a controller because it
+    goes out: nobody that was last told that it is ready comes once it takes nothing new (`handover`)."""
+    finding = Finding()
+    spans: dict[str, list[tuple[float, float, Event]]] = defaultdict(list)
+    closed: dict[str, Event] = {}
+    handed: set[tuple[str, float]] = set()
+    for event in _of(events, "handover"):
+        if event["stage"] in ("closed", "out"):
+            closed.setdefault(event.name, event)
+            continue
+        if event["stage"] == "handing_over":
+            handed.add((event.name, event.mono))
+        if since := closed.pop(event.name, None):
+            spans[event.name].append((since.mono, event.mono, since))
+    for name, since in closed.items():
+        spans[name].append((since.mono, float("inf"), since))
+    moved = turned_away = 0
+    for event in _of(events, "lookup"):
+        moved += bool(event.fields.get("moved"))
+        for begin, until, stage in spans.get(event["instance"], ()):
+            if not begin < event.mono < until or (event["answers"] and event["rcode"] == 0):
+                continue
+            turned_away += 1
+            if event.fields.get("ready"):
+                why = f"a caller that {event['instance']} had told that it is ready was turned away by it"
+                finding.against("handover", why, stage, event)
+    finding.figures = {
+        "handovers": len(handed),
+        "lookups_moved": moved,
+        "turned_away_by_handover": finding.count,
+        "turned_away_unready": turned_away - finding.count,
+    }
+    return finding
+
+
+def within_plan(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """Whatever begins to leave finds room under the plan of the revision that was the latest then, however
+    plans change (`max_out` of `adopted`); what is out already may be more than a plan that came later has."""
+    finding = Finding()
+    plans: dict[int, Event] = {}
+    for event in _of(events, "adopted"):
+        if "max_out" in event.fields:
+            plans.setdefault(event["index"], event)
+    indices = sorted(plans)
+    out: dict[str, set[str]] = {"server": set(), "controller": set()}
+    judged = 0
+    for event in _orders(events):
+        kind = event["machine"].partition(":")[0]
+        if event["state"] in ("back", "cancelled"):
+            out[kind].discard(event["machine"])
+        elif event["state"] == "leaving":
+            out[kind].add(event["machine"])
+            at = bisect.bisect_left(indices, event.fields.get("index", 0))
+            if not at:
+                continue  # no plan is known of that time
+            judged += 1
+            plan = plans[indices[at - 1]]
+            most = plan["max_out" if kind == "server" else "max_out_controllers"]
+            if len(out[kind]) > most:
+                why = f"{event['machine']} left as number {len(out[kind])}, and {most} may be out"
+                finding.against("within_plan", why, plan, event)
+    finding.figures = {"moves_judged": judged, "plans": len({(p["max_out"]) for p in plans.values()})}
+    return finding
+
+
 def admissions(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
     """Over every window of `window_s`, admissions (`admitted`, by `limit`) are no more than `per_s` times
     the window and `epsilon` over it."""
@@ -428,6 +516,9 @@
     "no_crash": Check(no_crash),
     "most_out": Check(most_out, ("servers", "controllers")),
     "no_fresh_to_out": Check(no_fresh_to_out),
+    "no_fresh_from_out": Check(no_fresh_from_out),
+    "handover": Check(handover),
+    "within_plan": Check(within_plan),
     "admissions": Check(admissions, ("per_s", "window_s", "epsilon")),
     "concurrency": Check(concurrency, ("server", "most")),
     "one_pass_a_slot": Check(one_pass_a_slot, ("most",)),
--- a/harepick/fleet/child.py
+++ b/harepick/fleet/child.py
@@ -43,6 +43,21 @@
     Replica.leases = leases  # type: ignore[method-assign]
 
 
+def _skip_handover() -> None:
+    """Breaks: a controller that is asked out says so, and serves its callers until they have moved."""
+    from harepick.fleet.maintenance.handover import Handover
+    from harepick.fleet.maintenance.orders import Order
+    from harepick.store.attach import StoreFront
+
+    true = Handover.follow
+
+    def follow(self: Handover, order: Order | None, now: float, length: float, served: bool) -> None:
+        true(self, order, now, 0.0, served)
+
+    Handover.follow = follow  # type: ignore[method-assign]
+    StoreFront.ready = lambda self: self._serving  # type: ignore[method-assign]
+
+
 def _borrow() -> None:
     """Breaks: an instance spends only what it holds: its share, its turns, its room at a server."""
     from harepick.enumdns.service import EnumFront
@@ -57,6 +72,7 @@
 DOUBLES: dict[str, Callable[[], None]] = {
     "stale-lease": _stale_lease,
     "skip-confirmation": _skip_confirmation,
+    "skip-handover": _skip_handover,
     "borrow": _borrow,
 }
 
--- a/harepick/fleet/limits/steward.py
+++ b/harepick/fleet/limits/steward.py
@@ -16,7 +16,6 @@
 from harepick.fleet.limits.settings import VerdictPlan
 from harepick.fleet.limits.shares import MOST_LIMITS, Split
 from harepick.fleet.limits.verdicts import FAILED, Judge, Lift
-from harepick.fleet.maintenance.orders import CONTROLLER
 from harepick.log import Log
 from harepick.store.fence import SLACK
 from harepick.store.machine import Envelope, Shared
@@ -84,7 +83,7 @@
         sight = Sight(
             name=self._me,
             revision=facts.revision,
-            live=live & members - machine.orders.barred(CONTROLLER),
+            live=live & members - machine.orders.given_up(),
             demands=self._replica.demands(),
             waits=waits,
             whole=frozenset(limit.id for limit in facts.limits if limit.server),
--- a/harepick/fleet/load.py
+++ b/harepick/fleet/load.py
@@ -9,9 +9,11 @@
 import socket
 import time
 from collections import OrderedDict
+from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 from random import Random
+from typing import TYPE_CHECKING
 
 import anyio
 import dns.message
@@ -23,6 +25,9 @@
 from harepick.fleet.ports import HOST
 from harepick.fleet.scenario import Load
 
+if TYPE_CHECKING:
+    from harepick.fleet.readiness import Readiness
+
 SUFFIX = "e164.arpa."
 QUERIES = 512  # made beforehand for each instance, so that the schedule is kept
 DIGITS = 11  # of a called number
@@ -41,18 +46,30 @@
 class _Sent:
     at: float
     prefix: str
+    instance: str
+    ready: bool  # whether that instance said so when it was asked last; True if nobody asks
     answers: int = 0
     rcode: int = -1
     took: float = 0.0
 
 
 class Asker:
-    """Look-ups to one instance."""
+    """Look-ups of one instance's callers; with a `readiness` they follow it to other instances."""
 
     def __init__(
-        self, name: str, place: int, instances: int, port: int, load: Load, seed: int, history: Recorder
+        self,
+        name: str,
+        place: int,
+        ports: Mapping[str, int],
+        load: Load,
+        seed: int,
+        history: Recorder,
+        readiness: Readiness | None = None,
     ) -> None:
+        """`ports`: where each instance takes look-ups, in the order of the places."""
+        instances = len(ports)
         self.name = name
+        self._readiness = readiness
         self._place, self._instances, self._load, self._history = place, instances, load, history
         rng = Random(seed * 7919 + place)
         prefixes = [prefix for prefix, _ in load.numbers]
@@ -65,7 +82,7 @@
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
-        self._to = (HOST, port)
+        self._to = {name: (HOST, port) for name, port in ports.items()}
         self._open: OrderedDict[int, _Sent] = OrderedDict()  # id -> look-up
         self._count = 0
         self.stopped = False
@@ -93,9 +110,12 @@
         prefix, query = self._queries[self._count % QUERIES]
         data = ident.to_bytes(2, "big") + query
         self._count += 1
-        self._open[ident] = _Sent(time.monotonic(), prefix)
+        whom, ready = self.name, True
+        if self._readiness:
+            whom, ready = self._readiness.choose(self.name, self._count)
+        self._open[ident] = _Sent(time.monotonic(), prefix, whom, ready)
         with suppress(OSError):  # nobody listens there for now
-            self._sock.sendto(data, self._to)
+            self._sock.sendto(data, self._to[whom])
 
     async def _hear(self) -> None:
         while True:
@@ -120,7 +140,9 @@
             self._history.note(
                 "lookup",
                 mono=sent.at,
-                instance=self.name,
+                instance=sent.instance,
+                ready=sent.ready,
+                moved=sent.instance != self.name,
                 prefix=sent.prefix,
                 answers=sent.answers,
                 rcode=sent.rcode,
--- a/harepick/fleet/maintenance/orders.py
+++ b/harepick/fleet/maintenance/orders.py
@@ -149,6 +149,12 @@
         """Machines that nothing fresh may go to."""
         return frozenset(o.machine for o in self._open.values() if o.kind == kind and o.state != "waiting")
 
+    def given_up(self) -> frozenset[str]:
+        """Controllers that take no calls any more: out, or leaving with none under way."""
+        return frozenset(
+            o.machine for o in self._open.values() if o.kind == CONTROLLER and (o.state == "out" or o.idle)
+        )
+
     def of(self, kind: str, machine: str) -> Order | None:
         """The open order of a machine."""
         return next((o for o in self._open.values() if (o.kind, o.machine) == (kind, machine)), None)
--- a/harepick/fleet/maintenance/rule.py
+++ b/harepick/fleet/maintenance/rule.py
@@ -27,6 +27,7 @@
     max_out: int = 1
     max_out_controllers: int = 1
     floor: float = 0.0
+    handover: float = 1.0  # seconds for the callers of a controller that leaves to move (`handover.py`)
     capacity: Mapping[str, float] = field(default_factory=dict)
     groups: tuple[Group, ...] = ()
 
--- a/harepick/fleet/maintenance/settings.py
+++ b/harepick/fleet/maintenance/settings.py
@@ -8,9 +8,10 @@
 from harepick.fleet.maintenance.rule import Group, Plan
 from harepick.settings import SettingsError
 
-KEYS = {"max_out", "max_out_controllers", "floor", "capacity", "group"}
+KEYS = {"max_out", "max_out_controllers", "floor", "capacity", "group", "handover_s"}
 MOST_GROUPS = 64
 MOST_CAPACITY = 1e9
+MOST_HANDOVER = 60.0  # seconds
 
 
 def _bad(key: str, why: str) -> SettingsError:
@@ -24,9 +25,9 @@
     return value
 
 
-def _amount(value: Any, key: str) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= MOST_CAPACITY:
-        raise _bad(key, f"is no amount from 0 on: {value!r}")
+def _amount(value: Any, key: str, most: float = MOST_CAPACITY) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= most:
+        raise _bad(key, f"is no amount from 0 to {most:g}: {value!r}")
     return float(value)
 
 
@@ -49,6 +50,7 @@
         max_out=_count(table, "max_out"),
         max_out_controllers=_count(table, "max_out_controllers"),
         floor=_amount(table.get("floor", 0.0), "floor"),
+        handover=_amount(table.get("handover_s", Plan().handover), "handover_s", MOST_HANDOVER),
         capacity={name: _amount(value, f"capacity.{name}") for name, value in capacity.items()},
         groups=tuple(_group(row, f"group[{n}]", servers) for n, row in enumerate(rows)),
     )
--- a/harepick/fleet/maintenance/steward.py
+++ b/harepick/fleet/maintenance/steward.py
@@ -35,7 +35,7 @@
     revision: int
     servers: frozenset[str]  # ready in the configuration, by name
     failed: frozenset[str]  # avoided now, by name
-    idle: bool  # no calls under way here
+    idle: bool  # no calls under way here, and none taken any more
 
 
 class Steward:
--- a/harepick/fleet/processes.py
+++ b/harepick/fleet/processes.py
@@ -128,6 +128,7 @@
     dns_port: int
     store_port: int
     relay_port: int = 0
+    ops_port: int = 0  # 0: it has no ops listener
     clock_rate: float = 1.0
     double: str = ""
     state: str = "down"
@@ -167,7 +168,8 @@
         self.path.write_text(
             f'[enum]\nlisten = "{HOST}:{self.dns_port}"\n'
             f'[history]\nfile = "{self.history}"\n'
-            f'[store]\ncluster = "{cluster}"\nreplica = "{self.name}"\n'
+            + (f'[ops]\nlisten = "{HOST}:{self.ops_port}"\n' if self.ops_port else "")
+            + f'[store]\ncluster = "{cluster}"\nreplica = "{self.name}"\n'
             f'listen = "{HOST}:{self.store_port}"\nfolder = "{self.data}"\n'
             f'lease_ms = {lease * 1000:g}\nfirst = "first.toml"\n{rows}'
         )
--- a/harepick/fleet/scenario.py
+++ b/harepick/fleet/scenario.py
@@ -48,6 +48,7 @@
     numbers: tuple[tuple[str, float], ...] = (("+9411", 1.0),)  # prefix of called numbers -> weight
     bursts: tuple[Burst, ...] = ()
     shifts: tuple[tuple[float, tuple[float, ...]], ...] = ()  # from when on, another skew
+    follow: bool = False  # callers ask for readiness, and go elsewhere while their instance says no
 
     def at(self, t: float, instance: int, instances: int) -> float:
         """Look-ups a second offered to that instance at `t`."""
@@ -69,12 +70,15 @@
     link: tuple[str, str] = ("", "")
     fault: Fault = CLEAR
     key: int = 0  # the same for the steps of one fault: a role is resolved once for all of them
+    mode: str = ""  # of a server that fails
 
     def told(self) -> dict[str, Any]:
         """For a reader; what is empty is left out."""
         row: dict[str, Any] = {"at": round(self.at, 3), "what": self.what}
         if self.whom:
             row["whom"] = list(self.whom)
+        if self.mode:
+            row["mode"] = self.mode
         if self.groups:
             row["groups"] = [list(group) for group in self.groups]
         if self.link != ("", ""):
@@ -83,7 +87,11 @@
         return row
 
 
-ACTIONS = ("partition", "heal", "link", "kill", "start", "pause", "resume", "stop", "wipe", "kill_in_change")
+ACTIONS = (
+    *("partition", "heal", "link", "kill", "start", "pause", "resume", "stop", "wipe", "kill_in_change"),
+    *("fail_server", "mend_server"),
+)
+MODES = ("silent", "failing")  # of a stand-in server: says nothing, or answers that it has failed
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,11 +111,16 @@
     clock_rates: Mapping[str, float] = field(default_factory=dict)
     doubles: Mapping[str, str] = field(default_factory=dict)
     settings: str = ""  # TOML that each revision of the configuration begins with
+    plans: tuple[str, ...] = ()  # TOML that the n-th revision goes on with, by turns
 
     @property
     def names(self) -> tuple[str, ...]:
         return tuple(NAMES[: self.instances])
 
+    def text(self, n: int) -> str:
+        """What the n-th revision, from 1 on, says beside the servers."""
+        return self.settings + ("\n" + self.plans[(n - 1) % len(self.plans)] if self.plans else "")
+
     def timeline(self, seed: int, seconds: float | None = None) -> list[Step]:
         """The steps of a play, in order; the same for the same seed. Faults that would begin after the end
         are left out, and those that reach beyond it end with it."""
@@ -174,7 +187,10 @@
     instances = _whole(table, "instances", "", 3, 1, MOST_INSTANCES)
     names = NAMES[:instances]
     seconds = _number(table, "seconds", "", 20.0, 1.0, MOST_SECONDS)
-    change = _known(table.get("change", {}), "change", {"every_s"})
+    change = _known(table.get("change", {}), "change", {"every_s", "settings"})
+    plans = _rows(change, "settings", "change.")
+    if not all(isinstance(plan, str) for plan in plans):
+        raise _bad("change.settings", f"is no list of texts: {plans!r}")
     rates = _known(table.get("clock_rate", {}), "clock_rate", set(names))
     doubles = _known(table.get("double", {}), "double", set(names))
     relayed = table.get("relay_servers", False)
@@ -198,6 +214,7 @@
         clock_rates={n: _number(rates, n, "clock_rate.", 1.0, *RATE_SKEW) for n in rates},
         doubles={n: _word(doubles, n, "double.") for n in doubles},
         settings=settings,
+        plans=tuple(plans),
     )
     if scenario.relay_servers and "no_stale_arrival" in scenario.checks:
         raise _bad("checks.no_stale_arrival", "says nothing with relay_servers: the relay delays them")
@@ -207,7 +224,10 @@
 
 
 def _load(table: Any, instances: int) -> Load:
-    _known(table, "load", {"rate", "skew", "numbers", "burst", "shift"})
+    _known(table, "load", {"rate", "skew", "numbers", "burst", "shift", "follow"})
+    follow = table.get("follow", False)
+    if not isinstance(follow, bool):
+        raise _bad("load.follow", f"is neither true nor false: {follow!r}")
     skew = _skew(table.get("skew", []), "load.skew", instances)
     shifts = []
     for n, row in enumerate(_rows(table, "shift", "load.")):
@@ -238,6 +258,7 @@
         tuple((prefix, float(weight)) for prefix, weight in numbers.items()),
         tuple(bursts),
         tuple(sorted(shifts)),
+        follow,
     )
 
 
@@ -274,6 +295,7 @@
     "pause": LASTING | {"whom"},
     "stop": LASTING | {"whom"},
     "kill_in_change": LASTING | {"whom"},
+    "server": LASTING | {"whom", "mode"},
     "rolling_restart": {"gap_s"},
 }
 
@@ -312,6 +334,8 @@
             found["groups"] = _groups(row.get("groups"), path, names)
         case "link":
             found |= _link(row, path, names)
+        case "server":
+            found |= _server(row, path)
         case "rolling_restart":
             found["gap_s"] = _number(row, "gap_s", f"{path}.", 2.0, 0.1, 600.0)
         case _:
@@ -322,6 +346,15 @@
     return found
 
 
+def _server(row: Mapping[str, Any], path: str) -> dict[str, Any]:
+    whom, mode = row.get("whom", "any"), row.get("mode", MODES[0])
+    if whom != "any" and not (isinstance(whom, str) and whom[:1] == "s" and whom[1:].isdigit()):
+        raise _bad(f"{path}.whom", f"is no server (s0, s1, ...) nor any: {whom!r}")
+    if mode not in MODES:
+        raise _bad(f"{path}.mode", f"is none of {', '.join(MODES)}: {mode!r}")
+    return {"whom": whom, "mode": mode}
+
+
 def _groups(groups: Any, path: str, names: str) -> tuple[tuple[str, ...], ...]:
     """`{a,b} | {c}`, or a list of lists."""
     if isinstance(groups, str):
@@ -403,6 +436,10 @@
             Step(at, "kill_in_change", whom, key=key),
             Step(end, "start", whom, key=key),
         ],
+        "server": lambda: [
+            Step(at, "fail_server", whom, key=key, mode=row["mode"]),
+            Step(end, "mend_server", whom, key=key),
+        ],
         "rolling_restart": lambda: [
             step
             for n, name in enumerate(names)
--- a/harepick/fleet/standins.py
+++ b/harepick/fleet/standins.py
@@ -23,6 +23,7 @@
 DATAGRAM = 2048
 KEPT = 64  # revisions whose sockets stay open
 ANSWER_BIT = 0x80
+SERVFAIL = 2
 
 
 class StandIns:
@@ -36,6 +37,7 @@
         self._tasks: TaskGroup | None = None
         self._scopes: OrderedDict[int, list[anyio.CancelScope]] = OrderedDict()
         self.arrivals = 0
+        self._failed: dict[str, str] = {}  # name -> how
 
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         async with anyio.create_task_group() as tasks:
@@ -43,6 +45,20 @@
             task_status.started()
             await anyio.sleep_forever()
 
+    def fail(self, name: str, mode: str) -> None:
+        """From now on it is `silent`, or `failing` (answers SERVFAIL at once), until `mend`."""
+        self._failed[name] = mode
+        self._history.note("server", server=name, mode=mode)
+
+    def mend(self, name: str) -> None:
+        if self._failed.pop(name, None):
+            self._history.note("server", server=name, mode="")
+
+    @property
+    def well(self) -> list[str]:
+        """Those that have not failed."""
+        return [name for name in self.names if name not in self._failed]
+
     def open(self, n: int) -> list[int]:
         """The servers' ports for the n-th configuration."""
         assert self._tasks
@@ -78,8 +94,13 @@
         self.arrivals += 1
         # The n-th configuration is revision n: the rig alone changes it, one change after another.
         self._history.note("arrived", mono=came, server=name, revision=n)
+        mode = self._failed.get(name)
+        if mode == "silent":
+            return
         reply = bytearray(data)
         reply[2] |= ANSWER_BIT
+        if mode:
+            reply[3] = reply[3] & 0xF0 | SERVFAIL
         if self._answer_after:
             tasks.start_soon(self._later, sock, bytes(reply), peer, name)
         else:
--- a/harepick/store/attach.py
+++ b/harepick/store/attach.py
@@ -33,6 +33,7 @@
 from harepick.fleet.limits.verdicts import BLOCKED, FAILED, OVERLOADED
 from harepick.fleet.maintenance import Orders
 from harepick.fleet.maintenance.desk import Desk
+from harepick.fleet.maintenance.handover import CLOSED, CLOSED_STAGES, OUT, SERVING, Handover
 from harepick.fleet.maintenance.orders import CONTROLLER, SERVER
 from harepick.fleet.maintenance.rule import Plan
 from harepick.fleet.maintenance.steward import Facts, Steward, with_barred
@@ -81,7 +82,9 @@
         self._revision = 0
         self._config: Enum | None = None  # of that revision
         self._barred: frozenset[str] = frozenset()  # servers that are leaving or out for work, by name
-        self._away = False  # this instance itself is
+        self._handover = Handover()  # of this instance's own callers, when it is asked out itself
+        self._stage = SERVING
+        self._served = False  # whether this process has been open to calls
         self._orders = 0  # version of the orders that is followed
         self._remembered = False
         nothing = replace(read_shared(NOTHING, self._own), upstreams=())
@@ -112,12 +115,23 @@
     # The gate
 
     def shut(self) -> float | None:
-        if self._revision and self.replica.may_act() and not self._away:
+        if self._revision and self.replica.may_act() and self._handing_over() not in CLOSED_STAGES:
+            self._served = True
             return None
         return self.replica.come_back()
 
     def may_leave(self, server: str) -> bool:
-        return server in self._allowed and self.replica.may_act()
+        return server in self._allowed and self.replica.may_act() and self._stage != OUT
+
+    def _handing_over(self) -> str:
+        """How far this instance is on its way out, now."""
+        stage = self._handover.stage(clock())
+        if stage != self._stage:
+            self._stage = stage
+            self._log.event("handover", stage=stage)
+            if self._history:
+                self._history.note("handover", stage=stage)
+        return stage
 
     def left(self, attempt: Attempt) -> None:
         if self._history:
@@ -148,7 +162,14 @@
         self._take_effect()
         self._counters.add("store.adopted")
         if self._history:
-            self._history.note("adopted", revision=revision.number, index=revision.index)
+            plan = config.maintenance or Plan()
+            self._history.note(
+                "adopted",
+                revision=revision.number,
+                index=revision.index,
+                max_out=plan.max_out,
+                max_out_controllers=plan.max_out_controllers,
+            )
         self._log.event("store_adopted", revision=revision.number, author=revision.author)
 
     def _follow(self, machine: Machine) -> None:
@@ -191,7 +212,10 @@
                     )
         self._orders = orders.version
         self._barred = orders.barred(SERVER)
-        self._away = self.settings.replica in orders.barred(CONTROLLER)
+        plan = (self._config.maintenance if self._config else None) or Plan()
+        own = orders.of(CONTROLLER, self.settings.replica)
+        self._handover.follow(own, clock(), plan.handover, self._served)
+        self._handing_over()
         self._take_effect()
 
     def _take_effect(self) -> None:
@@ -243,7 +267,7 @@
             revision=self._revision,
             servers=frozenset(u.name for u in config.upstreams if not u.draining),
             failed=frozenset(u.name for u in config.upstreams if server_name(u.name, u.address) in avoided),
-            idle=self.front.idle,
+            idle=self._handing_over() == CLOSED and self.front.idle,
         )
 
     def _limit_facts(self) -> LimitFacts | None:
@@ -282,7 +306,7 @@
     # What the ops listener tells
 
     def ready(self) -> bool:
-        return self._serving and self.shut() is None
+        return self._serving and self.shut() is None and self._stage == SERVING
 
     def telemetry(self) -> Telemetry:
         from harepick.ops import Telemetry
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -119,6 +119,10 @@
         ('[[fault]]\nkind = "link"\nfrom = "a"\nto = "b"\nat = 1\nfor_s = 1', "fault[0]"),
         ('[[fault]]\nkind = "link"\nfrom = "a"\nto = "b"\nloss = 2\nat = 1\nfor_s = 1', "fault[0].loss"),
         ('[[fault]]\nkind = "kill_in_change"\nat = 1\nfor_s = 1', "change.every_s"),
+        ('[[fault]]\nkind = "server"\nwhom = "a"\nat = 1\nfor_s = 1', "fault[0].whom"),
+        ('[[fault]]\nkind = "server"\nmode = "odd"\nat = 1\nfor_s = 1', "fault[0].mode"),
+        ("[change]\nsettings = [1]", "change.settings"),
+        ("[load]\nfollow = 1", "load.follow"),
         ("[checks.no_such]", "checks.no_such"),
         ("[checks.most_out]", "checks.most_out.servers"),
         ("[clock_rate]\na = 9", "clock_rate.a"),
@@ -163,6 +167,16 @@
         at(3.0 + n / 10, "a", "order", order=1, machine="server:s0", state=state, version=n + 1)
         for n, state in enumerate(("waiting", "leaving", "out", "back"))
     ],
+    at(4.0, "a", "adopted", revision=3, index=40, max_out=1, max_out_controllers=1),
+    *[
+        at(4.1 + n / 10, "a", "order", order=2, machine="controller:b", state=s, version=n + 5, index=n + 50)
+        for n, s in enumerate(("waiting", "leaving", "out"))
+    ],
+    at(4.2, "b", "handover", stage="handing_over"),
+    at(4.25, "b", "handover", stage="closed"),
+    at(4.5, "rig", "lookup", instance="b", answers=1, rcode=2, ready=False),
+    at(4.8, "a", "order", order=2, machine="controller:b", state="back", version=8, index=60),
+    at(4.85, "b", "handover", stage="serving"),
     at(5.0, "a", "admitted", limit="x"),
     at(6.0, "a", "passed", gap="radio", slot=7),
     at(7.5, "a", "verdict", verdict=1, kind="failed", subject="s8"),
@@ -187,6 +201,17 @@
     ("no_fresh_to_out", at(3.25, "a", "left", server="s0@1", revision=2, orders=3)),
     ("no_fresh_to_out", at(3.25, "rig", "arrived", server="s0", revision=2)),
     ("no_fresh_to_out", at(3.25, "a", "left", server="s1@1", revision=2, orders=1)),
+    ("no_fresh_from_out", at(4.5, "b", "left", revision=3, server="s9@1", orders=8)),
+    ("handover", at(4.5, "rig", "lookup", instance="b", answers=1, rcode=2, ready=True)),
+    (
+        "within_plan",
+        [
+            at(6.5, "a", "order", order=3, machine="server:s7", state="leaving", version=9, index=70),
+            at(6.6, "a", "adopted", revision=4, index=71, max_out=0, max_out_controllers=1),
+            at(6.7, "a", "order", order=3, machine="server:s7", state="back", version=10, index=72),
+            at(6.8, "a", "order", order=4, machine="server:s7", state="leaving", version=11, index=73),
+        ],
+    ),
     ("verdict_staleness", at(8.9, "b", "left", server="s8@1", revision=9, orders=4)),
     ("concurrency", [at(6.2 + n / 100, "rig", "arrived", server="s1", revision=9) for n in range(2)]),
     ("one_pass_a_slot", at(6.1, "b", "passed", gap="radio", slot=7)),
