Ask again soon for a pre-vote that found no majority

Cause: a follower whose time-out is over asks for pre-votes while another, which heard the lost leader up to three ticks later, still sticks to it and turns it away (store/raft/core.py, _on_pre_vote); the next try waited a whole time-out, 300 to 600 ms (_campaign drew one as for a vote).

Change: a pre-candidate asks again after 100 to 200 ms. No term moves by it, and a vote that was really begun keeps its time-out.

--- a/harepick/store/raft/core.py
+++ b/harepick/store/raft/core.py
@@ -39,6 +39,7 @@
 
 HEARTBEAT = 3  # ticks between two of a leader's
 ELECTION = 15  # ticks of silence before a campaign, and up to as many more by chance
+AGAIN = 5  # ticks until a pre-vote that found no majority is asked for again, and up to as many more
 BATCH = 256 * 1024  # bytes of entries in one append
 CHUNK = 128 * 1024  # bytes of a snapshot in one message
 MOST_SNAPSHOT = 512 * 1024 * 1024
@@ -355,6 +356,9 @@
         self._votes = {self.name: True} if pre else {}
         last = (self.log.last_index, self.log.last_term)
         if pre:
+            # Others may have heard the lost leader a little later, and turn this one away for so long. Asking
+            # again costs them nothing: no term moves.
+            self._timeout = AGAIN + self._rng.randrange(AGAIN)
             self.role = Role.PRE_CANDIDATE
             for name in self._others():
                 self.outbox.append((name, PreVote(self.term + 1, *last)))
--- a/tests/test_store_raft.py
+++ b/tests/test_store_raft.py
@@ -160,6 +160,26 @@
     assert cluster["b"].term == term + 5
 
 
+def test_a_pre_vote_that_came_too_early_is_asked_for_again_soon() -> None:
+    """Another had heard the lost leader a little later, and turned it away: it waited a whole time-out."""
+    for seed in range(20):
+        cluster = Cluster("a", "b", "c")
+        cluster.lead("a")
+        cluster.down = {"a"}
+        b, c = cluster["b"], cluster["c"]
+        c._rng = Random(seed)
+        c._silence, c._timeout = 20, 20
+        b._silence, b._timeout = 11, 60
+        ticks = 0
+        while Role.LEADER not in (b.role, c.role):
+            b.tick()
+            c.tick()
+            cluster.settle()
+            ticks += 1
+            assert ticks <= 12, "it did not ask again"
+        assert c.term == b.term == 2, "no term was wasted on it"
+
+
 def test_a_leader_that_its_quorum_does_not_hear_steps_down_and_drops_its_reads() -> None:
     cluster = Cluster("a", "b", "c")
     leader = cluster.lead("a")
