--- a/harepick/enumdns/service.py
+++ b/harepick/enumdns/service.py
@@ -130,8 +130,11 @@
         from harepick.gapping.screen import GapScreen
 
         screen = self._screen or GapScreen(config.settings.zone, config.seed or 0, self.owns)
+        now, rows = time.time(), config.gaps
+        if self._path is None:  # the store's: what is over there holds up no later change, and no start
+            rows = tuple(row for row in rows if row.until > now)
         try:
-            told = screen.apply(config.gaps, time.time(), [config.call_class])
+            told = screen.apply(rows, now, [config.call_class])
         except GapError as error:
             return f"setting gap: {error}"
         if self._screen is None:
--- a/harepick/gapping/screen.py
+++ b/harepick/gapping/screen.py
@@ -12,7 +12,7 @@
 from math import floor, inf
 
 from harepick.gapping.config import Row
-from harepick.gapping.gaps import NONE, Call, Gap, GapError, Gaps, Owner, check
+from harepick.gapping.gaps import MOST_BROAD, NONE, Call, Gap, GapError, Gaps, Owner, check
 
 EXPIRE_EVERY = 1.0  # seconds between looks for gaps that are over
 
@@ -93,6 +93,20 @@
         return self._gaps.counts()
 
 
+def check_rows(rows: Sequence[Row], where: str, classes: Iterable[str]) -> None:
+    """Whatever is wrong with rows at any time: a revision of the store is checked with it before anybody
+    acts on it. Raises `GapError`, naming the row under the key `where`, and its key."""
+    known, broad = tuple(classes), 0
+    for n, row in enumerate(rows):
+        try:
+            check(_gap(row, 0.0), -inf, known)
+            broad += not row.number and not row.prefix
+            if broad > MOST_BROAD:
+                raise GapError(f"prefix: there are over {MOST_BROAD} gaps without one and without a number")
+        except GapError as error:
+            raise GapError(f"{where}[{n}].{error}") from None
+
+
 def _gap(row: Row, start: float) -> Gap:
     """A changed row keeps its start: its slots, and the time it runs, count from when it was first set. The
     start is on the grid of the interval from the Unix epoch, so that instances that set the same gap at
--- a/harepick/settings.py
+++ b/harepick/settings.py
@@ -262,15 +262,21 @@
         raise SettingsError(f"setting settings makes no sense: {error}") from None
 
 
-def _gaps(rows: Any, where: str, plan: str) -> tuple[Any, ...]:
-    """Number gapping, as `harepick/gapping/config.py` reads it; nothing of it is loaded without gaps."""
+def _gaps(rows: Any, where: str, plan: str, call_class: str = "") -> tuple[Any, ...]:
+    """Number gapping, as `harepick/gapping/config.py` reads it; nothing of it is loaded without gaps. With
+    `call_class`, the one class there is, all that can be wrong with them but their time is looked for."""
     if not rows:
         return ()
     from harepick.gapping.config import read_rows
     from harepick.gapping.gaps import GapError
 
     try:
-        return read_rows(rows, where, plan)
+        read = read_rows(rows, where, plan)
+        if call_class:
+            from harepick.gapping.screen import check_rows
+
+            check_rows(read, where, [call_class])
+        return read
     except GapError as error:
         raise SettingsError(f"setting {error}") from None
 
@@ -404,7 +410,7 @@
         upstreams=upstreams,
         settings=settings,
         routes=_routes(table.get("route", []), {u.name for u in upstreams}),
-        gaps=_gaps(table.get("gap"), "gap", "e164"),
+        gaps=_gaps(table.get("gap"), "gap", "e164", name),
         maintenance=_maintenance(table.get("maintenance"), {u.name for u in upstreams}),
         limits=_limits(table.get("limit"), {u.name for u in upstreams}),
         verdicts=_verdicts(table.get("verdicts")),
