Let each caller address have a limit for itself over the fleet

Change: [[limit]] each = "caller". A quarter of the limit is split evenly and is every caller's, the rest goes by name to callers that want more than that, by the same splits under the same leases. Rejected: L/N at each instance, a home instance, a budget in the log for every address. Steps for different limits are proposed side by side, the furthest off first, and lifts of verdicts never wait for them.

Found on the way: a lift of a verdict was proposed only when no share had to move (limits/steward.py, _turn).

--- a/harepick/cli/limit.py
+++ b/harepick/cli/limit.py
@@ -7,6 +7,7 @@
 import click
 
 from harepick.cli.common import EXIT_CODES, USAGE, Store, author, fail, store_options
+from harepick.cli.rows import changed, put, without
 
 
 @click.group(epilog=EXIT_CODES)
@@ -14,45 +15,6 @@
     """Limits that hold over all instances together."""
 
 
-def _changed(text: str, wanted: dict[str, Any]) -> str:
-    """The configuration with that `[[limit]]` set anew or added; the rest stays as it is written."""
-    import tomlkit
-
-    document = tomlkit.parse(text)
-    rows = document.get("limit")
-    if rows is None:
-        rows = tomlkit.aot()
-        document.append("limit", rows)
-    for row in rows:
-        if row.get("id") == wanted["id"]:
-            break
-    else:
-        row = tomlkit.table()
-        rows.append(row)
-    for key, value in wanted.items():
-        row[key] = value
-    return tomlkit.dumps(document)
-
-
-def _without(text: str, name: str) -> str | None:
-    """The configuration without that limit; None if it has none of that id."""
-    import tomlkit
-
-    document = tomlkit.parse(text)
-    rows = document.get("limit", [])
-    places = [n for n, row in enumerate(rows) if row.get("id") == name]
-    for place in reversed(places):
-        del rows[place]
-    if places and not rows:
-        del document["limit"]
-    return tomlkit.dumps(document) if places else None
-
-
-def _put(store: Store, text: str, expect: int, note: str) -> int:
-    arguments = {"text": text, "expect": expect, "author": author(), "note": note}
-    return int(store.ask(lambda client: client.call("set", arguments, store.within))["revision"])
-
-
 @limit.command("set", epilog=EXIT_CODES)
 @click.argument("name")
 @click.option("--per-s", type=float, required=True, help="Calls a second, over the fleet.")
@@ -60,6 +22,7 @@
 @click.option("--prefix", "prefixes", multiple=True, help="Of called numbers; may be given again.")
 @click.option("--callers", multiple=True, help="A network of caller addresses; may be given again.")
 @click.option("--class", "call_class", help="A class of call.")
+@click.option("--each", type=click.Choice(["caller"]), help="Each caller address has the limit for itself.")
 @click.option("--reason", help="Told to whoever asks.")
 @click.option("--dry-run", is_flag=True, help="Print the configuration it would become, and change nothing.")
 @store_options
@@ -70,6 +33,7 @@
     prefixes: tuple[str, ...],
     callers: tuple[str, ...],
     call_class: str | None,
+    each: str | None,
     reason: str | None,
     dry_run: bool,
     store: Store,
@@ -79,8 +43,9 @@
 
     found = store.ask(lambda client: client.call("get", {}, store.within))
     wanted: dict[str, Any] = {"id": name, "per_s": per_s, "burst_s": burst_s, "class": call_class}
-    wanted |= {"prefixes": list(prefixes) or None, "callers": list(callers) or None, "reason": reason}
-    text = _changed(found["text"], {key: value for key, value in wanted.items() if value is not None})
+    wanted |= {"prefixes": list(prefixes) or None, "callers": list(callers) or None, "each": each}
+    wanted["reason"] = reason
+    text = changed(found["text"], "limit", {key: value for key, value in wanted.items() if value is not None})
     try:
         read_shared(text)
     except SettingsError as error:
@@ -88,7 +53,7 @@
     if dry_run:
         click.echo(text, nl=False)
         return
-    revision = _put(store, text, found["revision"], f"limit {name}: {per_s:g} a second")
+    revision = put(store, text, found["revision"], f"limit {name}: {per_s:g} a second")
     store.tell({"revision": revision}, f"limit {name} is {per_s:g} a second from revision {revision} on")
 
 
@@ -98,10 +63,10 @@
 def lift(name: str, store: Store) -> None:
     """Take limit NAME out of the configuration."""
     found = store.ask(lambda client: client.call("get", {}, store.within))
-    text = _without(found["text"], name)
+    text = without(found["text"], "limit", name)
     if text is None:
         store.fail(f"no limit {name} is set", "refused")
-    revision = _put(store, text, found["revision"], f"limit {name}: lifted")
+    revision = put(store, text, found["revision"], f"limit {name}: lifted")
     store.tell({"revision": revision}, f"limit {name} is lifted from revision {revision} on")
 
 
@@ -112,7 +77,8 @@
 def _line(row: dict[str, Any]) -> str:
     shares = ", ".join(f"{name} {share:.2f}" for name, share in sorted(row["shares"].items()))
     reason = f"  ({row['reason']})" if row["reason"] else ""
-    return f"{row['id']:<20} {row['per_s']:g}/s  {shares or 'not shared out yet'}{reason}"
+    rate = f"{row['per_s']:g}/s" + (" for each caller" if row["each"] else "")
+    return f"{row['id']:<20} {rate}  {shares or 'not shared out yet'}{reason}"
 
 
 @limit.command("list", epilog=EXIT_CODES)
@@ -139,6 +105,9 @@
             f"    {instance}: share {share:.2f}, offered {row['demand'].get(instance, 0.0):.2f}/s"
             + (f", {owed:.2f} on its way back" if owed else "")
         )
+    for caller, held in sorted(row["callers"].items()):
+        told = ", ".join(f"{name} {share:.2f}" for name, share in sorted(held.items()))
+        lines.append(f"    {caller} by name: {told or 'nothing yet'}")
     lines.append(f"    free: {row['free']:.2f}/s")
     store.tell(row, "\n".join(lines))
 
--- a/harepick/fleet/checks.py
+++ b/harepick/fleet/checks.py
@@ -409,29 +409,48 @@
     return finding
 
 
-def admissions(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
-    """Over every window of `window_s`, admissions (`admitted`, by `limit`) are no more than `per_s` times
-    the window and `epsilon` over it."""
-    finding = Finding()
+def _windows(
+    rows: Sequence[Event], check: str, name: str, arguments: Mapping[str, Any], finding: Finding
+) -> int:
+    """Admissions of one limit; the most that one window has."""
     window, allowed = arguments["window_s"], arguments["per_s"] * arguments["window_s"]
-    worst = 0
+    worst = first = 0
+    for last, event in enumerate(rows):
+        while rows[first].mono <= event.mono - window:
+            first += 1
+        worst = max(worst, last - first + 1)
+        if last - first + 1 > allowed + arguments["epsilon"]:
+            stretch = rows[first : last + 1]
+            finding.against(
+                check, f"limit {name}: {len(stretch)} in {window:g} s, {allowed:g} may be", *stretch
+            )
+    return worst
+
+
+def _admissions(events: Sequence[Event], arguments: Mapping[str, Any], check: str, callers: bool) -> Finding:
+    finding = Finding()
     by_limit: dict[str, list[Event]] = defaultdict(list)
     for event in _of(events, "admitted"):
-        by_limit[event["limit"]].append(event)
-    for limit, rows in by_limit.items():
-        first = 0
-        for last, event in enumerate(rows):
-            while rows[first].mono <= event.mono - window:
-                first += 1
-            worst = max(worst, last - first + 1)
-            if last - first + 1 > allowed + arguments["epsilon"]:
-                stretch = rows[first : last + 1]
-                why = f"limit {limit}: {len(stretch)} in {window:g} s, {allowed:g} may be"
-                finding.against("admissions", why, *stretch)
-    finding.figures = {"worst_window": worst, "worst_window_over": max(0.0, worst - allowed)}
+        if callers == ("@" in event["limit"]):
+            by_limit[event["limit"]].append(event)
+    worst = [_windows(rows, check, name, arguments, finding) for name, rows in by_limit.items()]
+    most, allowed = max(worst, default=0), arguments["per_s"] * arguments["window_s"]
+    what = "worst_caller_window" if callers else "worst_window"
+    finding.figures = {what: most, f"{what}_over": round(max(0.0, most - allowed), 1)}
     return finding
 
 
+def admissions(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """Over every window of `window_s`, admissions (`admitted`, by `limit`) are no more than `per_s` times
+    the window and `epsilon` over it."""
+    return _admissions(events, arguments, "admissions", callers=False)
+
+
+def admissions_by_caller(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """The same of limits that each caller has for itself (`limit` is its name, `@` and the caller)."""
+    return _admissions(events, arguments, "admissions_by_caller", callers=True)
+
+
 def verdict_staleness(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
     """From when the first instance is told of a verdict on a server until it is lifted, nothing leaves any
     instance for that server later than `bound_s` after the beginning."""
@@ -520,6 +539,7 @@
     "handover": Check(handover),
     "within_plan": Check(within_plan),
     "admissions": Check(admissions, ("per_s", "window_s", "epsilon")),
+    "admissions_by_caller": Check(admissions_by_caller, ("per_s", "window_s", "epsilon")),
     "concurrency": Check(concurrency, ("server", "most")),
     "one_pass_a_slot": Check(one_pass_a_slot, ("most",)),
     "verdict_staleness": Check(verdict_staleness, ("bound_s",)),
--- a/harepick/fleet/child.py
+++ b/harepick/fleet/child.py
@@ -61,11 +61,14 @@
 def _borrow() -> None:
     """Breaks: an instance spends only what it holds: its share, its turns, its room at a server."""
     from harepick.enumdns.service import EnumFront
+    from harepick.fleet.limits.callers import Callers
     from harepick.fleet.limits.purse import Bucket
     from harepick.gapping.turns import Turns
 
     EnumFront.allot = lambda self, name, room: None  # type: ignore[method-assign]
     Bucket.has = lambda self, now: True  # type: ignore[method-assign]
+    true = Callers.has
+    Callers.has = lambda self, caller, now: true(self, caller, now) or True  # type: ignore[method-assign]
     Turns.owns = lambda self, gap, slot: True  # type: ignore[method-assign]
 
 
--- a/harepick/fleet/limits/purse.py
+++ b/harepick/fleet/limits/purse.py
@@ -1,20 +1,25 @@
 """What one instance spends of its shares, and the demand that it sees. Pure: time is an argument.
 
 A token bucket for each limit, filled at the instance's share; a call needs a token of every limit that it
-meets, and takes none if one is missing.
+meets, and takes none if one is missing. A limit that each caller has for itself has a table of buckets
+(`callers.py`).
 """
 
 from __future__ import annotations
 
 import ipaddress
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from functools import lru_cache
 from math import exp
 
+from harepick.fleet.limits.callers import Callers
+from harepick.fleet.limits.rule import EVERYONE, coin
+
 MEMORY = 1.0  # seconds over which demand is averaged
 WAIT = 1.0  # seconds that a caller stays away if the share tells nothing better
 MOST_WAIT = 10.0
+UNKNOWN = "unknown"  # all callers whose front tells no address, counted as one
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +34,7 @@
     call_class: str = ""
     reason: str = ""
     server: str = ""  # its `per_s` is calls under way at this server instead, a whole number
+    each: bool = False  # each caller address has all of `per_s` for itself
 
     def meets(self, called: str, class_name: str, source: str) -> bool:
         """Whether a call needs a token; every criterion that is given has to fit."""
@@ -95,6 +101,7 @@
 
     limit: Limit
     bucket: Bucket
+    callers: Callers | None = None  # in place of the bucket
     offered: int = 0
     passed: int = 0
     refused: int = 0
@@ -102,6 +109,26 @@
     _seen: int = 0
     _since: float = field(default=float("-inf"))
 
+    def has(self, source: str, now: float) -> bool:
+        return self.callers.has(source, now) if self.callers is not None else self.bucket.has(now)
+
+    def take(self, source: str) -> None:
+        if self.callers is not None:
+            self.callers.take(source)
+        else:
+            self.bucket.take()
+
+    def wait(self, source: str) -> float:
+        """Seconds for a refused caller to stay away."""
+        if self.callers is None:
+            return self.bucket.wait()
+        wait = self.callers.wait(source)
+        return WAIT if wait is None else min(MOST_WAIT, wait)
+
+    def name(self, source: str) -> str:
+        """What a call of that caller is counted under."""
+        return coin(self.limit.id, source) if self.callers is not None else self.limit.id
+
     def demand(self, now: float) -> float:
         """Calls offered a second, lately; to be asked every now and then."""
         if self._since == float("-inf"):
@@ -116,13 +143,15 @@
 class Purse:
     """Owns the buckets of one instance."""
 
-    def __init__(self) -> None:
+    def __init__(self, make: Callable[[float], Callers] = Callers) -> None:
+        """`make`: the table of a limit that each caller has for itself, from its `burst_s`."""
         self._uses: dict[str, _Use] = {}
+        self._make = make
 
     def __len__(self) -> int:
         return len(self._uses)
 
-    def configure(self, limits: Iterable[Limit]) -> None:
+    def configure(self, limits: Iterable[Limit], now: float = 0.0) -> None:
         """The limits of a configuration; one that stays keeps its tokens and counts."""
         uses: dict[str, _Use] = {}
         for limit in limits:
@@ -130,20 +159,36 @@
             if use is None:
                 use = _Use(limit, Bucket(limit.burst_s))
             use.limit, use.bucket.burst_s = limit, limit.burst_s
+            if not limit.each:
+                use.callers = None
+            elif use.callers is None:
+                use.callers = self._make(limit.burst_s)
+            else:
+                use.callers.burst(limit.burst_s, now)
             use.bucket.tokens = min(use.bucket.tokens, use.bucket.cap)
             uses[limit.id] = use
         self._uses = uses
 
     def hold(self, shares: Mapping[str, float], now: float) -> None:
         """This instance's shares, by limit; of one that is not named it holds nothing."""
+        named: dict[str, dict[str, float]] = {}
+        for key, share in shares.items():
+            name, _, caller = key.partition("@")
+            if caller:
+                named.setdefault(name, {})[caller] = share
         for name, use in self._uses.items():
-            use.bucket.set(shares.get(name, 0.0), now)
+            if use.callers is not None:
+                rows = named.get(name, {})
+                use.callers.set(rows.pop(EVERYONE, 0.0), rows, now)
+            else:
+                use.bucket.set(shares.get(name, 0.0), now)
 
     def spend(
         self, called: str, class_name: str, source: str, now: float
     ) -> tuple[float | None, Sequence[str]]:
         """None and the limits that the call was counted against, or the seconds to stay away and the limits
         that it met. It takes a token of each, or none."""
+        who = source or UNKNOWN
         met = []
         for use in self._uses.values():
             if use.limit.server:
@@ -153,33 +198,51 @@
         missing = []
         for use in met:
             use.offered += 1
-            if not use.bucket.has(now):
+            if not use.has(who, now):
                 missing.append(use)
-        names = [use.limit.id for use in met]
+        names = [use.name(who) for use in met]
         for use in missing:
             use.refused += 1
         if missing:
-            return max(use.bucket.wait() for use in missing), names
+            return max(use.wait(who) for use in missing), names
         for use in met:
-            use.bucket.take()
+            use.take(who)
             use.passed += 1
         return None, names
 
     def give_back(self, names: Iterable[str]) -> None:
         """A call that was counted and then refused by something else."""
-        for name in names:
+        for key in names:
+            name, _, caller = key.partition("@")
             if use := self._uses.get(name):
-                use.bucket.tokens = min(use.bucket.cap, use.bucket.tokens + 1.0)
+                if use.callers is not None:
+                    use.callers.give_back(caller)
+                else:
+                    use.bucket.tokens = min(use.bucket.cap, use.bucket.tokens + 1.0)
                 use.passed -= 1
 
     def demands(self, now: float) -> dict[str, float]:
-        return {name: use.demand(now) for name, use in self._uses.items()}
+        """By limit; of one that each caller has for itself, by the callers that want more than their base."""
+        found: dict[str, float] = {}
+        for name, use in self._uses.items():
+            if use.callers is not None:
+                rows = use.callers.demands(now)
+                found |= {coin(name, caller): rate for caller, rate in rows.items()}
+            else:
+                found[name] = use.demand(now)
+        return found
+
+    def rate(self, name: str, caller: str = UNKNOWN) -> float:
+        """Tokens a second of that limit here, for that caller if each has the limit for itself."""
+        use = self._uses[name]
+        return use.callers.rate(caller) if use.callers is not None else use.bucket.share
 
     def figures(self) -> dict[str, dict[str, float]]:
         return {
             name: {
                 "per_s": use.limit.per_s,
-                "share": use.bucket.share,
+                "share": use.callers.base if use.callers is not None else use.bucket.share,
+                **({"callers": len(use.callers)} if use.callers is not None else {}),
                 "offered": use.offered,
                 "passed": use.passed,
                 "refused": use.refused,
--- a/harepick/fleet/limits/rule.py
+++ b/harepick/fleet/limits/rule.py
@@ -10,8 +10,12 @@
 from dataclasses import dataclass
 from math import floor
 
-from harepick.fleet.limits.shares import Holding, LimitCommand, Settle, Shares, Split
+from harepick.fleet.limits.shares import MOST_LIMITS, Holding, LimitCommand, Settle, Shares, Split
 
+EVERYONE = "*"  # in place of a caller: what every caller may spend without being named
+BASE = 0.25  # share of a limit for each caller that is split evenly for everyone; the rest is split by name
+MOST_NAMED = 32  # callers of one limit that hold shares by name at once
+STAYS = 1.25  # times its demand for one that does already: two alike must not take turns
 RESERVE = 0.1  # share of a budget that is split evenly over the live instances
 WORTH = 0.04  # share of a budget: smaller changes are not worth an entry
 
@@ -40,7 +44,9 @@
     return found
 
 
-def targets(budget: float, live: frozenset[str], demand: Mapping[str, float]) -> dict[str, float]:
+def targets(
+    budget: float, live: frozenset[str], demand: Mapping[str, float], reserve: float = RESERVE
+) -> dict[str, float]:
     """What each live instance should hold: its part of the reserve, and of the rest by demand. The sum is the
     budget, or 0 if nobody lives."""
     if not live:
@@ -50,29 +56,72 @@
     even = budget / len(live)
     if total <= 0:
         return dict.fromkeys(live, even)
-    return {name: RESERVE * even + (1 - RESERVE) * budget * w / total for name, w in wanted.items()}
+    return {name: reserve * even + (1 - reserve) * budget * w / total for name, w in wanted.items()}
+
+
+def coin(limit: str, caller: str) -> str:
+    """What the share of one caller is kept under; no limit's own name has an `@`."""
+    return f"{limit}@{caller}"
+
+
+def budgets(
+    limits: Mapping[str, float],
+    each: frozenset[str],
+    shares: Shares,
+    demands: Mapping[str, Mapping[str, float]],
+) -> dict[str, float]:
+    """What there is to be split: a limit's budget; of one that each caller has for itself (`each`) the part
+    that every caller may spend anywhere, and the rest for those who ask for more, the greediest first."""
+    found = {name: budget for name, budget in limits.items() if name not in each}
+    found |= {coin(name, EVERYONE): BASE * limits[name] for name in each}
+    room = min(MOST_NAMED, max(0, MOST_LIMITS - len(found)) // len(each)) if each else 0
+    for name in sorted(each):
+        wanted: dict[str, float] = {}
+        for rows in demands.values():
+            for key, rate in rows.items():
+                if key.startswith(f"{name}@"):
+                    wanted[key] = wanted.get(key, 0.0) + rate
+        first = sorted(wanted, key=lambda key: (-wanted[key] * (STAYS if key in shares else 1.0), key))
+        found |= dict.fromkeys(first[:room], (1 - BASE) * limits[name])
+    return found
 
 
 def decide(shares: Shares, budgets: Mapping[str, float], sight: Sight) -> LimitCommand | None:
-    """The one step that is due; None: nothing is. `budgets`: the limits of the configuration."""
+    """The step that is due first; None: nothing is."""
+    return next(iter(steps(shares, budgets, sight)), None)
+
+
+def steps(shares: Shares, budgets: Mapping[str, float], sight: Sight) -> list[LimitCommand]:
+    """All steps that are due, one a limit at most, so that each may be proposed on what the others leave as
+    it is: what settles first, then what is furthest off. `budgets`: the limits of the configuration."""
+    found: dict[str, LimitCommand] = {}
     for limit, known in shares.limits.items():
         if known.owed and not sight.waits(known.index) and sight.rested(limit, known.index):
-            return Settle(limit, known.version, sight.name)
-        if limit not in budgets and known.shares:
-            return Split(limit, 0.0, {}, known.version, sight.revision, sight.name)
-        if limit not in budgets and known.budget and not known.owed:
-            return Split(limit, 0.0, {}, known.version, sight.revision, sight.name)
+            found[limit] = Settle(limit, known.version, sight.name)
+        elif limit not in budgets and (known.shares or (known.budget and not known.owed)):
+            found[limit] = Split(limit, 0.0, {}, known.version, sight.revision, sight.name)
+    splits: list[tuple[float, Split]] = []
     for limit, budget in budgets.items():
+        if limit in found:
+            continue
         known = shares.get(limit)
-        demand = {name: row.get(limit, 0.0) for name, row in sight.demands.items()}
-        if limit in sight.whole:
-            wanted = _next_whole(known, budget, whole_targets(budget, sight.live, demand))
-        else:
-            wanted = _next(known, budget, targets(budget, sight.live, demand))
+        wanted = _wanted(limit, budget, known, sight)
         changed = sum(abs(wanted.get(n, 0.0) - known.shares.get(n, 0.0)) for n in wanted | known.shares)
-        if budget != known.budget or changed > budget * WORTH:
-            return Split(limit, budget, wanted, known.version, sight.revision, sight.name)
-    return None
+        off = float("inf") if budget != known.budget else changed / budget if budget else 0.0
+        if off > WORTH:
+            splits.append((off, Split(limit, budget, wanted, known.version, sight.revision, sight.name)))
+    splits.sort(key=lambda row: -row[0])
+    return [*found.values(), *(split for _, split in splits)]
+
+
+def _wanted(limit: str, budget: float, known: Holding, sight: Sight) -> dict[str, float]:
+    """The shares of a limit as far as they can be now."""
+    demand = {name: row.get(limit, 0.0) for name, row in sight.demands.items()}
+    if limit in sight.whole:
+        return _next_whole(known, budget, whole_targets(budget, sight.live, demand))
+    # Of what a caller holds by name nothing is kept back: its demand shows in what all may spend.
+    reserve = 0.0 if "@" in limit else RESERVE
+    return _next(known, budget, targets(budget, sight.live, demand, reserve))
 
 
 def _next(known: Holding, budget: float, target: Mapping[str, float]) -> dict[str, float]:
--- a/harepick/fleet/limits/settings.py
+++ b/harepick/fleet/limits/settings.py
@@ -13,10 +13,11 @@
 from harepick.settings import SettingsError
 
 CONCURRENT_KEYS = {"id", "server", "concurrent", "reason"}
-RATE_KEYS = {"id", "per_s", "burst_s", "prefix", "prefixes", "callers", "class", "reason"}
+RATE_KEYS = {"id", "per_s", "burst_s", "prefix", "prefixes", "callers", "class", "each", "reason"}
 ID = re.compile(r"[0-9A-Za-z][0-9A-Za-z._-]{0,63}$")
 PREFIX = re.compile(r"\+[0-9]{1,15}$")
 MOST_LIST = 64  # prefixes, or networks, of one limit
+MOST_EACH = 8  # limits that each caller has for itself
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +82,8 @@
         if limit.server and any(known.server == limit.server for known in limits.values()):
             raise _bad(f"{key}.server", f"has a limit already: {limit.server!r}")
         limits[limit.id] = limit
+        if sum(known.each for known in limits.values()) > MOST_EACH:
+            raise _bad(f"{key}.each", f"is there more than {MOST_EACH} times")
     return tuple(limits.values())
 
 
@@ -114,8 +117,11 @@
             raise _bad(f"{key}.{which}", f"is no + and digits: {prefix!r}")
     callers = [network(text, f"{key}.callers") for text in _list(row, "callers", key)]
     call_class = _text(row, "class", key)
-    if not (prefixes or callers or call_class):
-        raise _bad(key, "counts nothing: name prefix, prefixes, callers or class")
+    each = row.get("each", "")
+    if each not in ("", "caller"):
+        raise _bad(f"{key}.each", f"is not caller: {each!r}")
+    if not (prefixes or callers or call_class or each):
+        raise _bad(key, "counts nothing: name prefix, prefixes, callers, class or each")
     return Limit(
         id=name,
         per_s=_amount(row, "per_s", key, 0.0, 1e6),
@@ -123,6 +129,7 @@
         prefixes=tuple(prefixes),
         callers=tuple(callers),
         call_class=call_class,
+        each=bool(each),
         reason=_text(row, "reason", key),
     )
 
--- a/harepick/fleet/limits/steward.py
+++ b/harepick/fleet/limits/steward.py
@@ -12,9 +12,9 @@
 
 from harepick.counters import Counters
 from harepick.fleet.limits.purse import Limit, Purse
-from harepick.fleet.limits.rule import Sight, decide
+from harepick.fleet.limits.rule import EVERYONE, Sight, budgets, coin, steps
 from harepick.fleet.limits.settings import VerdictPlan
-from harepick.fleet.limits.shares import MOST_LIMITS, Split
+from harepick.fleet.limits.shares import MOST_LIMITS, LimitCommand, Split
 from harepick.fleet.limits.verdicts import FAILED, Judge, Lift
 from harepick.log import Log
 from harepick.store.fence import SLACK
@@ -25,6 +25,7 @@
 EVERY = 0.1  # seconds between two looks, if nothing wakes it
 REST = 0.02
 WITHIN = 5.0  # for one step to be committed
+MOST_STEPS = 16  # at one look, each about another limit; the next look sees what they came to
 AGAIN = 1.0  # seconds between two verdicts of this instance on one server
 
 
@@ -63,11 +64,8 @@
         """Until cancelled."""
         while True:
             self._replica.node.demand = self._purse.demands(clock())
-            try:
-                self._judge()
-                await self._turn()
-            except (NotLeaderError, BusyError, StoreUnavailableError):
-                self._counters.add("limits.not_proposed")  # another leads, or comes to
+            self._judge()
+            await self._turn()
             await anyio.sleep(REST)
             await self._replica.changed(EVERY)
 
@@ -89,11 +87,20 @@
             whole=frozenset(limit.id for limit in facts.limits if limit.server),
             rested=lambda limit, index: self._rested(limit, index, facts),
         )
-        budgets = {limit.id: limit.per_s for limit in facts.limits}
-        step = decide(machine.shares, budgets, sight) or self._over()
-        if step is None:
+        limits = {limit.id: limit.per_s for limit in facts.limits}
+        each = frozenset(limit.id for limit in facts.limits if limit.each)
+        due = budgets(limits, each, machine.shares, sight.demands)
+        over = self._over()  # never behind the splits: there may be some to make all the time
+        async with anyio.create_task_group() as tasks:
+            for step in ([over] if over else []) + steps(machine.shares, due, sight)[:MOST_STEPS]:
+                tasks.start_soon(self._propose, step)
+
+    async def _propose(self, step: LimitCommand | Lift) -> None:
+        try:
+            answer = await self._replica.change(Envelope("", 0, step), WITHIN)
+        except (NotLeaderError, BusyError, StoreUnavailableError):
+            self._counters.add("limits.not_proposed")  # another leads, or comes to
             return
-        answer = await self._replica.change(Envelope("", 0, step), WITHIN)
         if not isinstance(answer, Shared):
             self._counters.add("limits.refused_steps")
             self._log.event("limit_step_refused", why=str(answer))
@@ -149,12 +156,19 @@
         here = self._purse.figures()
         limits = []
         for limit in facts.limits if facts else ():
-            holding = machine.shares.get(limit.id)
+            holding = machine.shares.get(coin(limit.id, EVERYONE) if limit.each else limit.id)
+            named = {
+                key.partition("@")[2]: known.shares
+                for key, known in machine.shares.limits.items()
+                if limit.each and key.startswith(f"{limit.id}@") and key != coin(limit.id, EVERYONE)
+            }
             limits.append(
                 {
                     "id": limit.id,
                     "per_s": limit.per_s,
                     "server": limit.server,
+                    "each": "caller" if limit.each else "",
+                    "callers": named,
                     "burst_s": limit.burst_s,
                     "reason": limit.reason,
                     "shares": holding.shares,
--- a/harepick/fleet/load.py
+++ b/harepick/fleet/load.py
@@ -10,7 +10,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Mapping
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING
@@ -42,10 +42,20 @@
     return query.to_wire()[2:]
 
 
+def _socket(caller: str) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+    if caller:
+        sock.bind((caller, 0))
+    return sock
+
+
 @dataclass(slots=True)
 class _Sent:
     at: float
     prefix: str
+    caller: str  # its address; empty if the system chose it
     instance: str
     ready: bool  # whether that instance said so when it was asked last; True if nobody asks
     answers: int = 0
@@ -74,14 +84,14 @@
         rng = Random(seed * 7919 + place)
         prefixes = [prefix for prefix, _ in load.numbers]
         weights = [weight for _, weight in load.numbers]
-        self._queries: list[tuple[str, bytes]] = []  # prefix of the number, query
+        self._queries: list[tuple[str, str, bytes]] = []  # prefix of the number, caller, query
+        self._socks = {caller: _socket(caller) for caller, _ in load.callers or (("", 1.0),)}
+        shares = [weight for _, weight in load.callers] or [1.0]
         for _ in range(QUERIES):
             prefix = rng.choices(prefixes, weights)[0]
             rest = "".join(rng.choice("0123456789") for _ in range(max(0, DIGITS + 1 - len(prefix))))
-            self._queries.append((prefix, query_bytes(prefix + rest)))
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._sock.setblocking(False)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+            caller = rng.choices(list(self._socks), shares)[0]
+            self._queries.append((prefix, caller, query_bytes(prefix + rest)))
         self._to = {name: (HOST, port) for name, port in ports.items()}
         self._open: OrderedDict[int, _Sent] = OrderedDict()  # id -> look-up
         self._count = 0
@@ -89,9 +99,12 @@
 
     async def run(self, start: float) -> None:
         """Until cancelled; sends from `start` on, a time of the monotonic clock."""
-        with self._sock:
+        with ExitStack() as socks:
+            for sock in self._socks.values():
+                socks.enter_context(sock)
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._hear)
+                for sock in self._socks.values():
+                    tasks.start_soon(self._hear, sock)
                 owed, last = 0.0, start
                 while True:
                     now = time.monotonic()
@@ -107,22 +120,22 @@
 
     def _ask(self) -> None:
         ident = self._count & 0xFFFF
-        prefix, query = self._queries[self._count % QUERIES]
+        prefix, caller, query = self._queries[self._count % QUERIES]
         data = ident.to_bytes(2, "big") + query
         self._count += 1
         whom, ready = self.name, True
         if self._readiness:
             whom, ready = self._readiness.choose(self.name, self._count)
-        self._open[ident] = _Sent(time.monotonic(), prefix, whom, ready)
+        self._open[ident] = _Sent(time.monotonic(), prefix, caller, whom, ready)
         with suppress(OSError):  # nobody listens there for now
-            self._sock.sendto(data, self._to[whom])
+            self._socks[caller].sendto(data, self._to[whom])
 
-    async def _hear(self) -> None:
+    async def _hear(self, sock: socket.socket) -> None:
         while True:
-            await anyio.wait_readable(self._sock)
+            await anyio.wait_readable(sock)
             with suppress(OSError):  # the port is closed for now, or nothing more is there
                 while True:
-                    data = self._sock.recv(DATAGRAM)
+                    data = sock.recv(DATAGRAM)
                     sent = self._open.get(int.from_bytes(data[:2], "big"))
                     if sent is None:
                         continue
@@ -144,6 +157,7 @@
                 ready=sent.ready,
                 moved=sent.instance != self.name,
                 prefix=sent.prefix,
+                caller=sent.caller,
                 answers=sent.answers,
                 rcode=sent.rcode,
                 took_ms=round(sent.took * 1000, 3),
--- a/harepick/fleet/scenario.py
+++ b/harepick/fleet/scenario.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import asdict, dataclass, field
 from itertools import count
@@ -22,6 +23,8 @@
 MOST_INSTANCES = 9
 MOST_SERVERS = 32
 MOST_SECONDS = 3_600.0
+MOST_CALLERS = 64
+LOOPBACK = ipaddress.IPv4Network("127.0.0.0/8")
 MOST_RATE = 2_000.0  # look-ups a second over the fleet
 NAMES = "abcdefghi"
 ROLES = ("leader", "follower", "any")
@@ -48,6 +51,9 @@
     numbers: tuple[tuple[str, float], ...] = (("+9411", 1.0),)  # prefix of called numbers -> weight
     bursts: tuple[Burst, ...] = ()
     shifts: tuple[tuple[float, tuple[float, ...]], ...] = ()  # from when on, another skew
+    callers: tuple[
+        tuple[str, float], ...
+    ] = ()  # addresses of callers -> weight; one of the system's if empty
     follow: bool = False  # callers ask for readiness, and go elsewhere while their instance says no
 
     def at(self, t: float, instance: int, instances: int) -> float:
@@ -224,7 +230,7 @@
 
 
 def _load(table: Any, instances: int) -> Load:
-    _known(table, "load", {"rate", "skew", "numbers", "burst", "shift", "follow"})
+    _known(table, "load", {"rate", "skew", "numbers", "burst", "shift", "callers", "follow"})
     follow = table.get("follow", False)
     if not isinstance(follow, bool):
         raise _bad("load.follow", f"is neither true nor false: {follow!r}")
@@ -258,10 +264,25 @@
         tuple((prefix, float(weight)) for prefix, weight in numbers.items()),
         tuple(bursts),
         tuple(sorted(shifts)),
+        _callers(table.get("callers", {})),
         follow,
     )
 
 
+def _callers(table: Any) -> tuple[tuple[str, float], ...]:
+    if not isinstance(table, Mapping) or len(table) > MOST_CALLERS:
+        raise _bad("load.callers", f"is not a weight for each of up to {MOST_CALLERS} addresses: {table!r}")
+    for caller in table:
+        try:
+            good = ipaddress.ip_address(caller) in LOOPBACK
+        except ValueError:
+            good = False
+        if not good:
+            raise _bad(f"load.callers.{caller}", f"is no address in {LOOPBACK}")
+        _number(table, caller, "load.callers.", 1.0, 0.0, 1e6)
+    return tuple((caller, float(weight)) for caller, weight in table.items())
+
+
 def _skew(weights: Any, path: str, instances: int) -> tuple[float, ...]:
     good = isinstance(weights, list) and all(
         isinstance(w, int | float) and not isinstance(w, bool) and w >= 0 for w in weights
--- a/harepick/store/attach.py
+++ b/harepick/store/attach.py
@@ -150,10 +150,8 @@
     def _adopt(self, revision: Revision) -> None:
         """From here on nothing leaves under an older one."""
         self._config = config = read_shared(revision.text, self._own)
-        self.purse.configure(config.limits)
-        shares = self.replica.node.machine.shares
-        me = self.settings.replica
-        self.purse.hold({limit.id: shares.share(limit.id, me) for limit in config.limits}, clock())
+        self.purse.configure(config.limits, clock())
+        self._hold_shares()
         self._unbound |= self._bound - {limit.server for limit in config.limits if limit.server}
         self._revision = revision.number
         if not self._remembered:
@@ -172,11 +170,15 @@
             )
         self._log.event("store_adopted", revision=revision.number, author=revision.author)
 
+    def _hold_shares(self) -> None:
+        """This instance's part of every limit, as last applied."""
+        me, limits = self.settings.replica, self.replica.node.machine.shares.limits
+        self.purse.hold({name: known.shares.get(me, 0.0) for name, known in limits.items()}, clock())
+
     def _follow(self, machine: Machine) -> None:
         """From here on nothing fresh leaves for a machine that is leaving or out, or against a verdict, and
         no more is admitted than the shares."""
-        me = self.settings.replica
-        self.purse.hold({name: h.shares.get(me, 0.0) for name, h in machine.shares.limits.items()}, clock())
+        self._hold_shares()
         self._allot()
         if machine.verdicts.version != self._verdicts:
             self._follow_verdicts(machine.verdicts)
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -123,6 +123,8 @@
         ('[[fault]]\nkind = "server"\nmode = "odd"\nat = 1\nfor_s = 1', "fault[0].mode"),
         ("[change]\nsettings = [1]", "change.settings"),
         ("[load]\nfollow = 1", "load.follow"),
+        ('[load.callers]\n"10.0.0.1" = 1', "load.callers.10.0.0.1"),
+        ('[load.callers]\n"127.0.0.9" = -1', "load.callers.127.0.0.9"),
         ("[checks.no_such]", "checks.no_such"),
         ("[checks.most_out]", "checks.most_out.servers"),
         ("[clock_rate]\na = 9", "clock_rate.a"),
@@ -216,6 +218,7 @@
     ("concurrency", [at(6.2 + n / 100, "rig", "arrived", server="s1", revision=9) for n in range(2)]),
     ("one_pass_a_slot", at(6.1, "b", "passed", gap="radio", slot=7)),
     ("admissions", [at(5.5 + n / 100, "b", "admitted", limit="x") for n in range(2)]),
+    ("admissions_by_caller", [at(5.5 + n / 100, "b", "admitted", limit="x@u") for n in range(3)]),
 ]
 
 
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -448,6 +448,53 @@
     assert {e.name for v in report.told for e in v.stretch} == {"a", "b", "c"}
 
 
+# Each caller has the limit for itself; one wants far more, at all instances, and one is cut off with it.
+BY_CALLER = """
+instances = 3
+servers = 2
+lease_ms = 600
+seconds = 9.0
+settings = "[[limit]]\\nid = 'desk'\\neach = 'caller'\\nper_s = 20.0\\nburst_s = 0.5\\n"
+[load]
+rate = 90.0
+skew = [4, 1, 1]
+callers = { "127.0.1.1" = 40, "127.0.1.2" = 1, "127.0.1.3" = 1 }
+[[fault]]
+kind = "partition"
+groups = "{a, b} | {c}"
+at = 5.0
+for_s = 3.0
+[checks]
+admissions_by_caller = { per_s = 20.0, window_s = 1.0, epsilon = 13.0 }
+one_answer = {}
+one_leader_a_term = {}
+complete = {}
+no_crash = {}
+"""
+
+
+@pytest.mark.fleet
+def test_each_caller_has_a_limit_for_itself_over_all_instances(tmp_path: Path) -> None:
+    report = play(tmp_path, BY_CALLER)
+    assert report.ok, (report.line(), [v.why for v in report.told][:3])
+    admitted = [e for e in report.events if e.event == "admitted" and 3.0 <= e.mono - report.start < 5.0]
+    greedy = [e for e in admitted if e["limit"] == "desk@127.0.1.1"]
+    assert 20 <= len(greedy) <= 46, "it has its limit, wherever its calls come in"
+    light = [
+        e
+        for e in report.events
+        if e.event == "lookup" and e["caller"] != "127.0.1.1" and 3.0 <= e.mono - report.start < 5.0
+    ]
+    assert light and all(e["rcode"] == 0 for e in light), "others are not held back by it"
+
+
+@pytest.mark.fleet
+def test_its_twin_that_spends_more_than_a_caller_s_own_is_found_out(tmp_path: Path) -> None:
+    report = play(tmp_path, BY_CALLER + "[double]\na = 'borrow'\n")
+    assert not report.ok and not report.error
+    assert fails(report).keys() == {"admissions_by_caller"}, fails(report)
+
+
 # Only the link from a to s0 is broken: a finds out, and the others honour it.
 JUDGED = """
 instances = 3
--- a/tests/test_limit_daemons.py
+++ b/tests/test_limit_daemons.py
@@ -80,6 +80,26 @@
     assert served(client, LIMITED, 60) == 60
 
 
+def test_a_limit_for_each_caller_is_set_and_told(
+    one: tuple[Cluster, Client, int, Upstream, Upstream],
+) -> None:
+    cluster, client, ops, *_ = one
+    words = ("limit", "set", "desk", "--per-s", "4", "--burst-s", "0.5", "--each", "caller")
+    assert "4 a second" in cluster.ask(*words)
+    until(lambda: orjson.loads(cluster.ask("limit", "list", "--json"))["limits"][0]["shares"], why="the base")
+    time.sleep(2.0)
+    began = time.monotonic()
+    passed = 0
+    while time.monotonic() < began + 3.0:
+        passed += served(client, OTHER, 10, 0.01)
+    took = time.monotonic() - began
+    assert 0.6 * 4 * took <= passed <= 4 * took + 0.5 * 4 + 1, (passed, took)
+    assert "127.0.0.1 by name" in cluster.ask("limit", "show", "desk")
+    page = orjson.loads(ops_call(ops, "/api/limits")[1])["limits"][0]
+    assert page["each"] == "caller" and page["here"]["callers"] == 1
+    assert "for each caller" in cluster.ask("limit", "explain", "+94112345678", "--source", HOST)
+
+
 def test_a_verdict_bars_a_server_blocks_a_caller_and_ends(
     one: tuple[Cluster, Client, int, Upstream, Upstream],
 ) -> None:
