Let the fleet set, ease and end gaps by itself on numbers that are called in vain

Change: gapping/detector.py, the heaviest numbers of one instance in bounded room (Space-Saving with forward decay; a rate is told only as far as it is certain); gapping/auto.py, the rule: begin at per_s with enough of the calls for nothing for after_s, hold down to half of it, ease the interval in three halvings, end. The leader decides on what all instances tell with their questions for leases, and says it as a verdict (gapped), so that it spreads, is renewed and ends as verdicts do; the turns are the fleet's as of any gap. The core tells its screen what a call came to. [autogap], off without it; act = false only logs. Rejected: each instance by itself (N gaps that begin and end apart), a count-min sketch (rates too high).

--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -268,6 +268,8 @@
         entry.out = None
         entry.answered = True
         entry.offer.caller.stands(word.description)
+        if self.screen is not None:
+            self.screen.ended(entry.offer.called, True)
         self._counters.add("answers.stands")
         since = now - (attempt.sent or attempt.placed)
         events: list[i.Event] = [i.CallStands(word.call, word.attempt, word.server, since)]
@@ -397,6 +399,8 @@
             self._counters.add("core.late_words")
             return None
         entry.answered = True
+        if self.screen is not None:
+            self.screen.ended(entry.offer.called, False)
         self._ledger.close(entry)
         return entry
 
--- a/harepick/core/words.py
+++ b/harepick/core/words.py
@@ -100,6 +100,9 @@
         """None: the call goes on. Else it is refused; its caller is to come back after so many seconds.
         `source`: the caller's address, where the front tells it."""
 
+    def ended(self, called: str, good: bool) -> None:
+        """The final answer of a call that went on: it stands, or was refused or failed."""
+
 
 # Words from the fronts
 
--- a/harepick/enumdns/service.py
+++ b/harepick/enumdns/service.py
@@ -331,4 +331,6 @@
 
 def _core(config: Enum) -> Enum:
     """What a new generation is begun for: all but upstreams, routes, and what the fleet's parts read."""
-    return replace(config, upstreams=(), routes=(), gaps=(), maintenance=None, limits=(), verdicts=None)
+    return replace(
+        config, upstreams=(), routes=(), gaps=(), maintenance=None, limits=(), verdicts=None, autogap=None
+    )
--- a/harepick/fleet/limits/desk.py
+++ b/harepick/fleet/limits/desk.py
@@ -7,12 +7,13 @@
 
 from harepick.fleet.limits.settings import network
 from harepick.fleet.limits.steward import LimitSteward
-from harepick.fleet.limits.verdicts import BLOCKED, KINDS, MOST_TTL, Judge, Lift
+from harepick.fleet.limits.verdicts import BLOCKED, FAILED, MOST_TTL, OVERLOADED, Judge, Lift
 from harepick.settings import SettingsError
 from harepick.store.machine import Done, Envelope, Refused, Shared
 from harepick.store.operators import BadRequestError, OutcomeError, argument_number, argument_text
 from harepick.store.replica import Replica
 
+ASKED = (FAILED, OVERLOADED, BLOCKED)
 Answer = Callable[[dict[str, Any], float], Awaitable[Any]]
 
 
@@ -38,8 +39,8 @@
     async def judge(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
         """Answered once all that may act honour the verdict."""
         kind, subject = argument_text(arguments, "kind"), argument_text(arguments, "subject")
-        if kind not in KINDS:
-            raise BadRequestError(f"argument kind is none of {', '.join(KINDS)}: {kind!r}")
+        if kind not in ASKED:  # a number is gapped by `gap set`
+            raise BadRequestError(f"argument kind is none of {', '.join(ASKED)}: {kind!r}")
         await self._replica.read(wait)
         if kind == BLOCKED:
             try:
--- a/harepick/fleet/limits/screen.py
+++ b/harepick/fleet/limits/screen.py
@@ -9,6 +9,7 @@
 
 from harepick.core.words import Screen
 from harepick.fleet.limits.purse import WAIT, Purse, within
+from harepick.gapping.detector import Detector
 
 
 class FleetScreen:
@@ -27,12 +28,15 @@
         self.gaps: Screen | None = None
         self.blocked: tuple[str, ...] = ()  # networks of callers under a verdict
         self.turned_away = 0  # calls of theirs
+        self.detector: Detector | None = None  # of numbers that want a gap, where gaps set themselves
         self._clock, self._admitted, self._passed = clock, admitted, passed
 
     def refuses(self, called: str, class_name: str, now: float, source: str = "") -> float | None:
         if self.blocked and within(source, self.blocked):
             self.turned_away += 1
             return WAIT
+        if self.detector is not None:
+            self.detector.offered(called, self._clock())
         if not self.purse and not self.gaps:
             return None
         wait, names = self.purse.spend(called, class_name, source, self._clock())
@@ -46,3 +50,7 @@
         for name in names:
             self._admitted(name)
         return None
+
+    def ended(self, called: str, good: bool) -> None:
+        if self.detector is not None:
+            self.detector.ended(called, good, self._clock())
--- a/harepick/fleet/limits/steward.py
+++ b/harepick/fleet/limits/steward.py
@@ -15,7 +15,9 @@
 from harepick.fleet.limits.rule import EVERYONE, Sight, budgets, coin, steps
 from harepick.fleet.limits.settings import VerdictPlan
 from harepick.fleet.limits.shares import MOST_LIMITS, LimitCommand, Split
-from harepick.fleet.limits.verdicts import FAILED, Judge, Lift
+from harepick.fleet.limits.verdicts import FAILED, GAPPED, Judge, Lift
+from harepick.gapping.auto import AutoGaps, AutoPlan, sums, told
+from harepick.gapping.detector import Detector
 from harepick.log import Log
 from harepick.store.fence import SLACK
 from harepick.store.machine import Envelope, Shared
@@ -38,6 +40,8 @@
     plan: VerdictPlan
     avoided: frozenset[str]  # servers that the module avoids now, by name
     longest: float  # seconds that a call may be under way
+    auto: AutoPlan | None = None  # gaps that set themselves
+    spared: frozenset[str] = frozenset()  # numbers that have a gap of the operators'
 
 
 class LimitSteward:
@@ -59,11 +63,13 @@
         self._judged: dict[str, float] = {}  # server -> when this instance judged it last
         self._seen: dict[tuple[int, int], float] = {}  # verdict and its version -> when first seen leading
         self._resting: dict[tuple[str, int], float] = {}  # limit and entry -> since when nobody waits for it
+        self._auto = AutoGaps()
+        self.detector: Detector | None = None  # while gaps set themselves
 
     async def run(self) -> None:
         """Until cancelled."""
         while True:
-            self._replica.node.demand = self._purse.demands(clock())
+            self._replica.node.demand = self._purse.demands(clock()) | self._heavy()
             self._judge()
             await self._turn()
             await anyio.sleep(REST)
@@ -74,6 +80,7 @@
         if facts is None or leases is None:
             self._seen.clear()
             self._resting.clear()
+            self._auto = AutoGaps()
             return
         machine = self._replica.node.machine
         live, waits = leases
@@ -92,9 +99,42 @@
         due = budgets(limits, each, machine.shares, sight.demands)
         over = self._over()  # never behind the splits: there may be some to make all the time
         async with anyio.create_task_group() as tasks:
+            for judge in self._gaps_due(facts):  # none waits for its answer: it comes when all honour it
+                self._replica.suggest(Envelope("", 0, judge))
             for step in ([over] if over else []) + steps(machine.shares, due, sight)[:MOST_STEPS]:
                 tasks.start_soon(self._propose, step)
 
+    def _heavy(self) -> dict[str, float]:
+        """Numbers that are called much here, as the leader hears of them."""
+        facts = self._facts()
+        if self.detector is None or facts is None or facts.auto is None:
+            return {}
+        found: dict[str, float] = {}
+        # A tenth here: the fleet may have many instances, and a gap that holds is eased by what is told.
+        for number, (offered, bad) in self.detector.heaviest(clock(), facts.auto.per_s / 10).items():
+            found |= {number: offered, told(number): bad}
+        return found
+
+    def _gaps_due(self, facts: Facts) -> list[Judge]:
+        """Gaps that set themselves, to begin or to go on."""
+        if facts.auto is None:
+            return []
+        holding = self._replica.node.machine.verdicts.gapped()
+        rates = sums(self._replica.demands())
+        found = []
+        for want in self._auto.decide(facts.auto, rates, holding, facts.spared, clock()):
+            known = want.number in holding
+            event = "autogap" if facts.auto.act else "autogap_proposed"
+            self._log.event(event, number=want.number, interval=want.interval, why=want.why, known=known)
+            self._counters.add("gaps.renewed" if known else "gaps.detected")
+            judge = Judge(
+                GAPPED, want.number, self._me, want.evidence, facts.auto.ttl, want.why, want.interval
+            )
+            if facts.auto.act:
+                self._told(judge)
+                found.append(judge)
+        return found
+
     async def _propose(self, step: LimitCommand | Lift) -> None:
         try:
             answer = await self._replica.change(Envelope("", 0, step), WITHIN)
@@ -187,6 +227,7 @@
                 "evidence_s": round(v.evidence, 3),
                 "ttl_s": v.ttl,
                 "why": v.why,
+                "value": v.value,
                 "version": v.version,
             }
             for v in machine.verdicts.all
--- a/harepick/fleet/limits/verdicts.py
+++ b/harepick/fleet/limits/verdicts.py
@@ -8,8 +8,8 @@
 
 from msgspec import Struct, field
 
-FAILED, OVERLOADED, BLOCKED = "failed", "overloaded", "blocked"
-KINDS = (FAILED, OVERLOADED, BLOCKED)  # of a server, of a server, of a caller's network
+FAILED, OVERLOADED, BLOCKED, GAPPED = "failed", "overloaded", "blocked", "gapped"
+KINDS = (FAILED, OVERLOADED, BLOCKED, GAPPED)  # of a server, a server, a caller's network, a number called
 MOST = 1_024  # verdicts that hold at once
 MOST_TTL = 86_400.0
 MOST_TEXT = 500
@@ -24,6 +24,7 @@
     evidence: float
     ttl: float
     why: str = ""
+    value: float = 0.0  # of `gapped`: the interval, in seconds
 
 
 class Lift(Struct, frozen=True, tag="lift"):
@@ -46,6 +47,7 @@
     why: str
     version: int  # of the list, when it came in or was renewed last
     index: int
+    value: float = 0.0
 
 
 class VerdictsState(Struct):
@@ -76,6 +78,10 @@
     def subjects(self, *kinds: str) -> frozenset[str]:
         return frozenset(v.subject for v in self._verdicts.values() if v.kind in kinds)
 
+    def gapped(self) -> dict[str, float]:
+        """Numbers that a verdict gaps, with the interval."""
+        return {v.subject: v.value for v in self._verdicts.values() if v.kind == GAPPED}
+
     def apply(self, index: int, command: VerdictCommand) -> tuple[int, str]:
         """The verdict's number, or 0 and why nothing was changed."""
         if isinstance(command, Lift):
@@ -105,5 +111,6 @@
             why=command.why[:MOST_TEXT],
             version=self.version,
             index=index,
+            value=command.value,
         )
         return number, ""
--- a/harepick/fleet/play.py
+++ b/harepick/fleet/play.py
@@ -130,7 +130,9 @@
         tasks = self._tasks
         await tasks.start(self.keeper.run)
         await tasks.start(self.relay.run)
-        self._servers = StandIns(self.scenario.servers, self.history, self.scenario.answer)
+        self._servers = StandIns(
+            self.scenario.servers, self.history, self.scenario.answer, self.scenario.busy
+        )
         await tasks.start(self._servers.run)
         await self._set_up()
         for instance in self.instances.values():
--- a/harepick/fleet/scenario.py
+++ b/harepick/fleet/scenario.py
@@ -29,7 +29,7 @@
 NAMES = "abcdefghi"
 ROLES = ("leader", "follower", "any")
 RATE_SKEW = (0.5, 2.0)  # clock rates that make sense to try
-START = {"scenario", "instances", "servers", "relay_servers", "answer_ms", "lease_ms", "seconds"}
+START = {"scenario", "instances", "servers", "relay_servers", "answer_ms", "busy", "lease_ms", "seconds"}
 SECTIONS = START | {"about", "load", "change", "fault", "checks", "clock_rate", "double", "settings"}
 
 Time = float | tuple[float, float]
@@ -116,6 +116,7 @@
     checks: Mapping[str, Mapping[str, Any]] = field(default_factory=dict)
     clock_rates: Mapping[str, float] = field(default_factory=dict)
     doubles: Mapping[str, str] = field(default_factory=dict)
+    busy: str = ""  # numbers with this prefix have no answer but SERVFAIL at the stand-in servers
     settings: str = ""  # TOML that each revision of the configuration begins with
     plans: tuple[str, ...] = ()  # TOML that the n-th revision goes on with, by turns
 
@@ -221,6 +222,7 @@
         doubles={n: _word(doubles, n, "double.") for n in doubles},
         settings=settings,
         plans=tuple(plans),
+        busy=_word(table, "busy", ""),
     )
     if scenario.relay_servers and "no_stale_arrival" in scenario.checks:
         raise _bad("checks.no_stale_arrival", "says nothing with relay_servers: the relay delays them")
--- a/harepick/fleet/standins.py
+++ b/harepick/fleet/standins.py
@@ -24,13 +24,15 @@
 KEPT = 64  # revisions whose sockets stay open
 ANSWER_BIT = 0x80
 SERVFAIL = 2
+SUFFIX = b"\x04e164\x04arpa\x00"
 
 
 class StandIns:
     """`servers` stand-ins; `open` makes their sockets for one more revision."""
 
-    def __init__(self, servers: int, history: Recorder, answer: float = 0.0) -> None:
-        """`answer`: seconds that each query is under way there."""
+    def __init__(self, servers: int, history: Recorder, answer: float = 0.0, busy: str = "") -> None:
+        """`answer`: seconds that each query is under way there; `busy`: prefix of numbers that fail."""
+        self._busy = b"".join(b"\x01" + digit.encode() for digit in reversed(busy.lstrip("+")))
         self.names = [f"s{n}" for n in range(servers)]
         self._answer_after = answer
         self._history = history
@@ -99,7 +101,7 @@
             return
         reply = bytearray(data)
         reply[2] |= ANSWER_BIT
-        if mode:
+        if mode or (self._busy and self._busy + SUFFIX in data):  # a number ends where the suffix begins
             reply[3] = reply[3] & 0xF0 | SERVFAIL
         if self._answer_after:
             tasks.start_soon(self._later, sock, bytes(reply), peer, name)
--- a/harepick/gapping/config.py
+++ b/harepick/gapping/config.py
@@ -13,6 +13,7 @@
 from math import inf, isfinite
 from typing import Any, TypeGuard
 
+from harepick.gapping.auto import AutoPlan
 from harepick.gapping.gaps import NONE, PLANS, GapError
 
 KEYS = {
@@ -73,6 +74,37 @@
     return tuple(read.values())
 
 
+AUTO = {  # key of `[autogap]` -> field, from, to
+    "per_s": ("per_s", 0.1, 1e6),
+    "failing": ("failing", 0.0, 1.0),
+    "after_s": ("after", 0.1, 600.0),
+    "interval_s": ("interval", 0.05, 3600.0),
+    "ttl_s": ("ttl", 1.0, 3600.0),
+}
+
+
+def read_autogap(table: Any) -> AutoPlan:
+    """`[autogap]`: when gaps set themselves."""
+    if not isinstance(table, Mapping):
+        raise GapError(f"autogap is no table: {table!r}")
+    for key in sorted(table.keys() - AUTO.keys() - {"act"}):
+        raise GapError(f"autogap.{key} is not known")
+    found: dict[str, float] = {}
+    for key, (name, low, high) in AUTO.items():
+        if key not in table:
+            continue
+        value = table[key]
+        if not _number(value) or not low <= value <= high:
+            raise GapError(f"autogap.{key} is not between {low:g} and {high:g}: {value!r}")
+        found[name] = float(value)
+    act = table.get("act", True)
+    if not isinstance(act, bool):
+        raise GapError(f"autogap.act is neither true nor false: {act!r}")
+    if "per_s" not in found:
+        raise GapError("autogap.per_s is missing")
+    return AutoPlan(**found, act=act)
+
+
 def _row(row: Any, plan: str) -> Row:
     if not isinstance(row, Mapping):
         raise GapError(f"id: the gap is no table: {row!r}")
--- a/harepick/gapping/screen.py
+++ b/harepick/gapping/screen.py
@@ -77,6 +77,9 @@
             return verdict.come_back
         return verdict.come_back + self._rng.random() * interval  # docs/design/gapping.md: come back
 
+    def ended(self, called: str, good: bool) -> None:
+        """Nothing rests on it here."""
+
     def explain(self, called: str, class_name: str, now: float) -> list[Gap]:
         """The gaps that count for such a call, most specific first; takes no turn."""
         return [gap for gap, _ in self._gaps.explain(Call(called, class_name, self._zone), now)]
--- a/harepick/settings.py
+++ b/harepick/settings.py
@@ -93,6 +93,7 @@
     maintenance: Any = None  # `harepick.fleet.maintenance.rule.Plan`; None: the defaults of one
     limits: tuple[Any, ...] = ()  # `harepick.fleet.limits.purse.Limit`s of `[[limit]]`
     verdicts: Any = None  # `harepick.fleet.limits.settings.VerdictPlan`; None: the defaults of one
+    autogap: Any = None  # `harepick.gapping.auto.AutoPlan`; None: no gap sets itself
 
 
 def _number(table: Mapping[str, Any], path: str, low: float, default: float | None = None) -> float:
@@ -295,7 +296,7 @@
 
 # The operator's file
 
-FLEET = ("maintenance", "limit", "verdicts")  # hold for all instances of a store, and need one
+FLEET = ("maintenance", "limit", "verdicts", "autogap")  # hold for all instances of a store, and need one
 KNOWN_KEYS = {
     "enum": {"listen", "suffix", "class", "deadline_ms", "edns_size", "tcp_clients", "tcp_idle_s", "seed"},
     "class": {"aim_ms", "worth", "late_share"},
@@ -414,6 +415,7 @@
         maintenance=_maintenance(table.get("maintenance"), {u.name for u in upstreams}),
         limits=_limits(table.get("limit"), {u.name for u in upstreams}),
         verdicts=_verdicts(table.get("verdicts")),
+        autogap=_autogap(table.get("autogap")),
     )
 
 
@@ -433,6 +435,18 @@
     return read_verdicts(table)
 
 
+def _autogap(table: Any) -> Any:
+    if table is None:
+        return None
+    from harepick.gapping.config import read_autogap
+    from harepick.gapping.gaps import GapError
+
+    try:
+        return read_autogap(table)
+    except GapError as error:
+        raise SettingsError(f"setting {error}") from None
+
+
 def _maintenance(table: Any, servers: set[str]) -> Any:
     """What may be out for work at once; nothing of its reader is loaded without it."""
     if table is None:
--- a/harepick/store/attach.py
+++ b/harepick/store/attach.py
@@ -37,6 +37,8 @@
 from harepick.fleet.maintenance.orders import CONTROLLER, SERVER
 from harepick.fleet.maintenance.rule import Plan
 from harepick.fleet.maintenance.steward import Facts, Steward, with_barred
+from harepick.gapping.config import Row as GapRow
+from harepick.gapping.detector import Detector
 from harepick.gapping.gaps import NONE
 from harepick.gapping.shares import Block
 from harepick.gapping.turns import Turns
@@ -96,6 +98,7 @@
         self.replica = Replica(settings, counters, log, self._adopt, self._follow)
         self.steward = Steward(self.replica, self._facts, counters, log)
         self.limits = LimitSteward(self.replica, self.purse, self._limit_facts, counters, log, self._judging)
+        self._auto_gaps: tuple[GapRow, ...] = ()  # those that the fleet has set by itself
         self._judged: frozenset[str] = frozenset()  # servers under a verdict, by name
         self._verdicts = 0  # version of the list that is followed
         self._holding: set[int] = set()  # numbers of those on it
@@ -152,6 +155,8 @@
         self._config = config = read_shared(revision.text, self._own)
         self.purse.configure(config.limits, clock())
         self._hold_shares()
+        if (config.autogap is None) != (self.limits.detector is None):
+            self.limits.detector = self.screen.detector = Detector() if config.autogap else None
         self._unbound |= self._bound - {limit.server for limit in config.limits if limit.server}
         self._revision = revision.number
         if not self._remembered:
@@ -197,6 +202,10 @@
         self._holding = {verdict.id for verdict in verdicts.all}
         self._verdicts = verdicts.version
         self._judged = verdicts.subjects(FAILED, OVERLOADED)
+        self._auto_gaps = tuple(
+            GapRow(id=f"auto:{number}", interval=interval, number=number, reason="set by the fleet itself")
+            for number, interval in sorted(verdicts.gapped().items())
+        )
         self.screen.blocked = tuple(sorted(verdicts.subjects(BLOCKED)))
         self._take_effect()
 
@@ -256,7 +265,7 @@
         if ready_servers(judged):  # what one controller sees must not stop the fleet
             config = judged
         self._allowed = ready_servers(config)
-        self.front.apply(config)
+        self.front.apply(replace(config, gaps=(*config.gaps, *self._auto_gaps)))
 
     def _facts(self) -> Facts | None:
         """What the rule of maintenance has to know of this instance and its configuration."""
@@ -284,6 +293,8 @@
             plan=config.verdicts or VerdictPlan(),
             avoided=frozenset(u.name for u in ready if server_name(u.name, u.address) in avoided),
             longest=config.deadline,
+            auto=config.autogap,
+            spared=frozenset(row.number for row in config.gaps if row.number),
         )
 
     def _passed(self, called: str, now: float) -> None:
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -311,6 +311,8 @@
     def refuses(self, called: str, class_name: str, now: float, source: str = "") -> float | None:
         return self.wait
 
+    def ended(self, called: str, good: bool) -> None: ...
+
 
 def test_the_screen_gives_a_token_back_if_a_gap_refuses_and_blocks_callers() -> None:
     purse, gaps = Purse(), Gaps()
@@ -470,6 +472,10 @@
     def may_act(self) -> bool:
         return True
 
+    def suggest(self, envelope: Envelope) -> None:
+        self.index += 1
+        self.node.machine.apply(self.index, encode(envelope))
+
 
 def test_a_verdict_ends_in_time_though_there_is_always_a_share_to_move() -> None:
     """A lift waited until no share had to move, and with many of them that was never."""
