--- a/harepick/enumdns/service.py
+++ b/harepick/enumdns/service.py
@@ -129,7 +129,9 @@
         from harepick.gapping.gaps import GapError
         from harepick.gapping.screen import GapScreen
 
-        screen = self._screen or GapScreen(config.settings.zone, config.seed or 0, self.owns)
+        screen = self._screen  # one without gaps is as good as any: it is the one that the cores ask
+        if screen is None:
+            screen = GapScreen(config.settings.zone, config.seed or 0, self.owns)
         now, rows = time.time(), config.gaps
         if self._path is None:  # the store's: what is over there holds up no later change, and no start
             rows = tuple(row for row in rows if row.until > now)
--- a/tests/test_gap_daemons.py
+++ b/tests/test_gap_daemons.py
@@ -69,6 +69,10 @@
         assert why in cluster.ask("gap", "set", "bad", *more, code=2), more
     assert "lifted from revision 4" in cluster.ask("gap", "lift", "radio")
     assert "no gap radio" in cluster.ask("gap", "lift", "radio", code=1)
+    # Once there was none left, the next gap that was set was looked at by nobody.
+    assert served(client, RADIO, 10) == 10
+    cluster.ask("gap", "set", "again", "--prefix", "+9411", "--interval", "none")
+    assert served(client, RADIO, 10) == 0
 
 
 def test_a_faulty_gap_never_becomes_a_revision(one: tuple[Cluster, Client, Upstream, Upstream]) -> None:
