--- a/benchmarks/fleet_world.py
+++ b/benchmarks/fleet_world.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import argparse
 import heapq
 import multiprocessing
 import sys
@@ -25,6 +26,7 @@
 RATES = (0.955, 1.045)  # of clocks: their ratio stays under the fence's slack of 1.1
 SECONDS = 12.0  # of one schedule
 TICK = 0.05
+MOVES = 2.0  # seconds between two shifts of demand
 
 State = TypeVar("State")
 Waits = Callable[[int], list[str]]  # index -> who may still act on something older
@@ -84,6 +86,7 @@
         self.cut: set[tuple[str, str]] = set()
         self.loss = self.rng.choice((0.0, 0.05, 0.2))
         self.late = self.rng.choice((0.01, 0.05, 0.2))
+        self.skew = dict.fromkeys(self.names, 1.0)  # demand at each, for worlds that have any
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
 
@@ -145,6 +148,11 @@
         else:
             work()
 
+    def shift(self) -> None:
+        """Demand moves, now and every `MOVES` seconds or so."""
+        self.at(self.now + self.rng.uniform(0.5, 1.5) * MOVES, self.shift)
+        self.skew = {name: self.rng.choice((0.05, 1.0, 1.0, 6.0)) for name in self.names}
+
     # The log
 
     def _quorum(self, name: str) -> bool:
@@ -346,6 +354,16 @@
     return total, sorted(violations), played, time.monotonic() - began
 
 
+def arguments(doc: str | None, breaks: tuple[str, ...]) -> argparse.ArgumentParser:
+    """What all models take."""
+    parser = argparse.ArgumentParser(description=doc, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--schedules", type=int, default=100_000)
+    parser.add_argument("--first-seed", type=int, default=1)
+    parser.add_argument("--break", dest="broken", choices=breaks, default="", help="break a rule on purpose")
+    parser.add_argument("--processes", type=int, default=multiprocessing.cpu_count())
+    return parser
+
+
 def tell(
     name: str, first: int, found: tuple[dict[str, float], list[str], int, float], enough: bool, **more: object
 ) -> int:
--- a/benchmarks/limit_model.py
+++ b/benchmarks/limit_model.py
@@ -10,8 +10,6 @@
 
 from __future__ import annotations
 
-import argparse
-import multiprocessing
 import sys
 from collections import deque
 from collections.abc import Mapping
@@ -28,7 +26,6 @@
 LIMIT, BURST = 40.0, 0.25  # calls a second over the fleet; seconds of a share that may be saved up
 WINDOWS = (0.5, 1.0, 3.0)  # seconds
 OFFERED = 5.0  # times the limit, over all instances
-MOVES = 2.0  # seconds between two shifts of demand
 BREAKS = ("", "no_confirmation", "lease_ignored", "unbudgeted", "no_wait_after_election", "forgetful")
 GREEDY = ("u0", "u1")  # callers
 STRANGERS = 12  # others, now and then
@@ -59,7 +56,6 @@
         self.owners: dict[str, Shares] = {}  # whose copy a purse is of: a restarted process has a new one
         self.followed: dict[str, int] = {}
         self.told: dict[str, Mapping[str, float]] = {}  # demand as the leader has it
-        self.skew = dict.fromkeys(self.names, 1.0)
         self.recent: deque[float] = deque()
         self.admitted = self.offered = self.splits = 0
         self.worst = 0.0  # of the bound, the largest share that a window came to
@@ -163,12 +159,7 @@
                 raise Broken(f"{self.now:.3f}: {count} in {window:g} s, and {allowed:.1f} may be")
 
     def operate(self) -> None:
-        self.at(0.0, self._shift)
-
-    def _shift(self) -> None:
-        """Demand moves."""
-        self.at(self.now + self.rng.uniform(0.5, 1.5) * MOVES, self._shift)
-        self.skew = {name: self.rng.choice((0.05, 1.0, 1.0, 6.0)) for name in self.names}
+        self.at(0.0, self.shift)
 
     def figures(self) -> dict[str, float]:
         return super().figures() | {
@@ -233,13 +224,7 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
-    parser.add_argument("--schedules", type=int, default=100_000)
-    parser.add_argument("--first-seed", type=int, default=1)
-    parser.add_argument("--break", dest="broken", choices=BREAKS, default="", help="break a rule on purpose")
-    parser.add_argument("--processes", type=int, default=multiprocessing.cpu_count())
+    parser = fleet_world.arguments(__doc__, BREAKS)
     parser.add_argument("--each", choices=("caller",), help="each caller has the limit for itself")
     wanted = parser.parse_args()
     found = fleet_world.many(
--- a/benchmarks/maint_model.py
+++ b/benchmarks/maint_model.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import argparse
-import multiprocessing
 import sys
 from typing import Any
 
@@ -194,14 +192,7 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
-    parser.add_argument("--schedules", type=int, default=100_000)
-    parser.add_argument("--first-seed", type=int, default=1)
-    parser.add_argument("--break", dest="broken", choices=BREAKS, default="", help="break a rule on purpose")
-    parser.add_argument("--processes", type=int, default=multiprocessing.cpu_count())
-    wanted = parser.parse_args()
+    wanted = fleet_world.arguments(__doc__, BREAKS).parse_args()
     found = fleet_world.many(
         MaintWorld,
         wanted.first_seed,
--- a/harepick/cli/gap.py
+++ b/harepick/cli/gap.py
@@ -12,7 +12,7 @@
 from datetime import datetime
 from math import inf
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import click
 
@@ -23,6 +23,9 @@
 from harepick.gapping.screen import GapScreen
 from harepick.settings import SettingsError, read_shared, read_toml
 
+if TYPE_CHECKING:
+    from harepick.store.client import StoreClient
+
 
 @click.group(epilog=EXIT_CODES)
 def gap() -> None:
@@ -177,3 +180,38 @@
         store.fail(f"no gap {name} is set", "refused")
     revision = put(store, text, found["revision"], f"gap {name}: lifted")
     store.tell({"revision": revision}, f"gap {name} is lifted from revision {revision} on")
+
+
+def _news(before: dict[str, Row], after: dict[str, Row]) -> list[tuple[str, Row]]:
+    """What became of gaps from one revision to the next, each `set`, `changed` or `lifted`."""
+    lifted = [("lifted", row) for name, row in before.items() if name not in after]
+    news = [("changed" if n in before else "set", r) for n, r in after.items() if before.get(n) != r]
+    return lifted + news
+
+
+@gap.command(epilog=EXIT_CODES)
+@click.option("--count", type=click.IntRange(1), help="End after so many lines.")
+@store_options
+def watch(count: int | None, store: Store) -> None:
+    """Print the gaps that hold, and each that is set, changed or lifted from then on.
+
+    Gaps that the fleet sets by itself are verdicts: 'harepick verdict list' has them."""
+
+    async def follow(client: StoreClient) -> None:
+        import orjson
+
+        rows: dict[str, Row] = {}
+        seen = 0
+        start = await client.call("history", {"most": 1}, store.within)
+        async for revision in client.watch(start[0]["revision"] - 1 if start else 0):
+            latest = {row.id: row for row in read_shared(revision["text"]).gaps}
+            for what, row in _news(rows, latest):
+                told = {"revision": revision["revision"], "what": what, **_told(row)}
+                line = f"{told['revision']:>6}  {what:<8} {json.dumps(_told(row))}"
+                click.echo(orjson.dumps(told).decode() if store.as_json else line)
+                seen += 1
+                if count and seen >= count:
+                    return
+            rows = latest
+
+    store.ask(follow)
--- a/tests/test_fleet_models.py
+++ b/tests/test_fleet_models.py
@@ -1,10 +1,10 @@
-"""The virtual worlds of maintenance and limits: they hold, and they can fail."""
+"""The virtual worlds of maintenance, limits and gaps: they hold, and they can fail."""
 
 from __future__ import annotations
 
 import pytest
 
-from benchmarks import limit_model, maint_model
+from benchmarks import gap_model, limit_model, maint_model
 
 
 def test_some_hundred_schedules_keep_the_budget_and_the_fence() -> None:
@@ -64,3 +64,27 @@
         used += figures["used_share"]
     assert used / 100 / len(limit_model.GREEDY) > 0.2
     assert any(limit_model.schedule(seed, "forgetful", each=True)[1] for seed in range(1, 20))
+
+
+def test_some_hundred_schedules_pass_one_call_a_slot_over_the_fleet() -> None:
+    used = blocks = 0.0
+    for seed in range(1, 201):
+        figures, found = gap_model.schedule(seed)
+        assert not found, found
+        used += figures["used_share"]
+        blocks += figures["blocks"]
+    assert used / 200 > 0.3 and blocks > 800
+
+
+@pytest.mark.parametrize(
+    ("broken", "seeds"),
+    [
+        ("no_rest_after_start", (1127, 1158)),  # back within the slot that the process before used
+        ("overlapping", range(1, 20)),
+        ("turns_taken_early", range(1, 20)),
+    ],
+)
+def test_a_broken_rule_of_turns_is_found(broken: str, seeds: range | tuple[int, ...]) -> None:
+    found = [text for seed in seeds if (text := gap_model.schedule(seed, broken)[1])]
+    assert found, f"{broken} was not found in {len(seeds)} schedules"
+    assert not any(gap_model.schedule(seed)[1] for seed in seeds)
--- a/tests/test_gap_daemons.py
+++ b/tests/test_gap_daemons.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from collections.abc import Iterator
 from contextlib import suppress
@@ -12,6 +13,7 @@
 import pytest
 
 from benchmarks.daemons import Cluster, config_text
+from harepick.gapping.config import Row
 from tests.dnspeers import Client, Upstream
 from tests.peers import until
 
@@ -75,6 +77,37 @@
     assert served(client, RADIO, 10) == 0
 
 
+def test_a_watch_tells_of_gaps_as_they_are_set_and_changed(
+    one: tuple[Cluster, Client, Upstream, Upstream],
+) -> None:
+    cluster, *_ = one
+    cluster.ask("gap", "set", "radio", "--prefix", "+9411", "--interval", "1")
+    heard: list[str] = []
+    listener = threading.Thread(
+        target=lambda: heard.append(cluster.ask("gap", "watch", "--count", "3", "--json"))
+    )
+    listener.start()
+    for n in range(2, 40):  # whenever it begins to listen, the first line is the gap that holds by then
+        cluster.ask("gap", "set", "radio", "--interval", str(n))
+        listener.join(0.01)
+        if not listener.is_alive():
+            break
+    listener.join(20.0)
+    rows = [orjson.loads(line) for line in heard[0].splitlines()]
+    assert [row["what"] for row in rows] == ["set", "changed", "changed"]
+    intervals = [row["interval_s"] for row in rows]
+    assert intervals == sorted(intervals) and {row["id"] for row in rows} == {"radio"}
+
+
+def test_what_became_of_gaps_from_one_revision_to_the_next() -> None:
+    from harepick.cli.gap import _news
+
+    one, two, changed = Row("a", 1.0, prefix="+1"), Row("b", 1.0, prefix="+2"), Row("a", 2.0, prefix="+1")
+    assert _news({}, {"a": one}) == [("set", one)]
+    assert _news({"a": one, "b": two}, {"a": changed}) == [("lifted", two), ("changed", changed)]
+    assert _news({"a": one}, {"a": one}) == []
+
+
 def test_a_faulty_gap_never_becomes_a_revision(one: tuple[Cluster, Client, Upstream, Upstream]) -> None:
     """It was acknowledged, and then turned down by every instance with all else that it said."""
     cluster, _, north, _ = one
