--- a/harepick/cli/gap.py
+++ b/harepick/cli/gap.py
@@ -88,7 +88,7 @@
 @click.argument("name")
 @store_options
 def show(name: str, store: Store) -> None:
-    """Gap NAME of the store's configuration, and who holds which turns of it."""
+    """Gap NAME of the store's configuration, and whether its time is over."""
     row = next((row for row in _rows(None, store) if row.id == name), None)
     if row is None:
         store.fail(f"no gap {name} is set", "refused")
--- a/harepick/fleet/limits/rule.py
+++ b/harepick/fleet/limits/rule.py
@@ -86,11 +86,6 @@
     return found
 
 
-def decide(shares: Shares, budgets: Mapping[str, float], sight: Sight) -> LimitCommand | None:
-    """The step that is due first; None: nothing is."""
-    return next(iter(steps(shares, budgets, sight)), None)
-
-
 def steps(shares: Shares, budgets: Mapping[str, float], sight: Sight) -> list[LimitCommand]:
     """All steps that are due, one a limit at most, so that each may be proposed on what the others leave as
     it is: what settles first, then what is furthest off. `budgets`: the limits of the configuration."""
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -19,7 +19,6 @@
     RESERVE,
     Sight,
     budgets,
-    decide,
     steps,
     targets,
     whole_targets,
@@ -42,6 +41,11 @@
     return Sight("a", 1, live, rows, lambda index: [] if settled else ["b"])
 
 
+def decide(shares: Shares, budgets: dict[str, float], seen: Sight) -> Any:
+    """The step that is due first."""
+    return next(iter(steps(shares, budgets, seen)), None)
+
+
 def settle(shares: Shares, seen: Sight, budget: float = 90.0, most: int = 30) -> list[Any]:
     steps: list[Any] = []
     while (step := decide(shares, {"x": budget}, seen)) is not None:
