--- a/harepick/cli/gap.py
+++ b/harepick/cli/gap.py
@@ -156,12 +156,15 @@
     found = _latest(store)
     wanted = {"id": name, "interval_s": interval, **words, "class": call_class, "until": end}
     wanted |= {"inherit": None if alone is None else not alone, "owner": author() or None}
-    text = changed(found["text"], "gap", {key: value for key, value in wanted.items() if value is not None})
+    given = {key: value for key, value in wanted.items() if value is not None}
+    text = changed(found["text"], "gap", given, () if end is None else ("for_s",))  # one end, or the other
     try:
         rows = tuple(read_shared(text).gaps)
     except SettingsError as error:
         fail(f"{error}; nothing was changed", USAGE)
     _screen(rows, None, "", store)
+    if any(row.id == name and row.until <= time.time() for row in rows):
+        fail(f"the time of gap {name} is over: give --for or --until; nothing was changed", USAGE)
     if dry_run:
         click.echo(text, nl=False)
         return
--- a/harepick/cli/rows.py
+++ b/harepick/cli/rows.py
@@ -7,8 +7,8 @@
 from harepick.cli.common import Store, author
 
 
-def changed(text: str, table: str, wanted: dict[str, Any]) -> str:
-    """The configuration with the row of that id in `[[table]]` set anew, or added."""
+def changed(text: str, table: str, wanted: dict[str, Any], drop: tuple[str, ...] = ()) -> str:
+    """The configuration with the row of that id in `[[table]]` set anew, or added; keys of `drop` go."""
     import tomlkit
 
     document = tomlkit.parse(text)
@@ -22,6 +22,8 @@
     else:
         row = tomlkit.table()
         rows.append(row)
+    for key in drop:
+        row.pop(key, None)
     for key, value in wanted.items():
         row[key] = value
     return tomlkit.dumps(document)
--- a/tests/test_gap_daemons.py
+++ b/tests/test_gap_daemons.py
@@ -99,6 +99,14 @@
     assert intervals == sorted(intervals) and {row["id"] for row in rows} == {"radio"}
 
 
+def test_an_end_by_command_takes_the_place_of_one_written_by_hand() -> None:
+    from harepick.cli.rows import changed
+
+    text = '[[gap]]\nid = "a"\nprefix = "+1"\ninterval_s = 1\nfor_s = 60\n'
+    assert changed(text, "gap", {"id": "a", "until": 5.0}, ("for_s",)).count("for_s") == 0
+    assert "for_s = 60" in changed(text, "gap", {"id": "a", "interval_s": 2})
+
+
 def test_what_became_of_gaps_from_one_revision_to_the_next() -> None:
     from harepick.cli.gap import _news
 
@@ -134,6 +142,7 @@
     assert served(client, RADIO, 1) == 0
     until(lambda: served(client, RADIO, 1) == 1, 8.0, "the gap's end")
     assert orjson.loads(cluster.ask("gap", "show", "radio", "--json"))["over"] is True
+    assert "is over: give --for" in cluster.ask("gap", "set", "radio", "--interval", "1", code=2)
     # What comes after takes effect, with the row still there.
     text = cluster.ask("config", "get").replace(f":{north.port}", f":{south.port}")
     path = cluster.folder / "next.toml"
