Tell a server that has failed from one that is full for a moment, by two witnesses

Seen: `Steward.sight` took for failed whatever the leader's own module avoided (`StoreFront._facts`, `front.avoided`), and a server that has failed may go out whatever it leaves (`rule._hold_server`). But the module also avoids a server that is full (`decide.avoided`: `not s.u`), so a sound one that was full or silent for a moment went below the floor, or as the last of its district. Played with real instances: s0 silent for 0.9 s at a time, floor 2 of 2, asked out: it left 0.63 s after the first pulse began. Ruled out: SERVFAIL pulses, which do not shut a server at all.

Each instance tells for how long it has avoided a server beside its demand; failed is what two instances (all, if one lives) have avoided for `failed_after_s`, or what a verdict says; avoided by anybody is pressed, absent for the floor and groups of others and held to both itself. That nothing is told any more is told once, where an empty telling was left out and the old one stood for 2 s (`Node._ask`). The rig checks `above_floor`; the model has servers that are full and checks what a decision leaves.

--- a/benchmarks/maint_fleet.py
+++ b/benchmarks/maint_fleet.py
@@ -73,7 +73,7 @@
         "change": {"every_s": 1.0, "settings": [f"max_out = {n}" for n in (MAX_OUT, MAX_OUT, 1)]},
         "fault": faults,
         "checks": {name: {} for name in (*names, "complete", "no_crash", *FLEET)}
-        | {"most_out": {"servers": MAX_OUT, "controllers": 1}},
+        | {"most_out": {"servers": MAX_OUT, "controllers": 1}, "above_floor": {"recovers_s": 5.0}},
     }
 
 
--- a/benchmarks/maint_model.py
+++ b/benchmarks/maint_model.py
@@ -29,7 +29,15 @@
 SERVERS = tuple(f"s{n}" for n in range(4))
 GROUP = frozenset({"s0", "s1"})
 PLAN = Plan(max_out=2, max_out_controllers=1, floor=2.0, groups=(Group("north", GROUP),))
-BREAKS = ("", "no_confirmation", "lease_ignored", "unguarded", "no_wait_after_election", "idle_too_early")
+BREAKS = (
+    "",
+    "no_confirmation",
+    "lease_ignored",
+    "unguarded",
+    "no_wait_after_election",
+    "idle_too_early",
+    "pressed_counts",
+)
 LONGEST = 0.5  # seconds that a call may be under way
 
 
@@ -54,6 +62,7 @@
     def __init__(self, seed: int, broken: str = "") -> None:
         super().__init__(seed, broken)
         self.failed: set[str] = set()
+        self.pressed: set[str] = set()  # full for a moment: they give nothing now, and have not failed
         self.mended: dict[str, float] = {}  # server -> when it was no longer failed
         self.acts = self.outs = self.backs = self.fenced = self.most = self.handed = 0
         self.processes: dict[str, Process] = {}
@@ -99,6 +108,15 @@
         if not GROUP - self.truth.barred(SERVER) and not failed:
             raise Broken(f"{self.now:.3f}: {machine} was the last of its group")
 
+    def _check_left(self, state: Orders, move: Move) -> None:
+        """What a server that is called out leaves, as all is in the moment of the decision."""
+        order = state.get(move.order)
+        if order is None or order.kind != SERVER or order.machine in self.failed:
+            return
+        left = set(SERVERS) - state.barred(SERVER) - self.failed - self.pressed - {order.machine}
+        if len(left) < PLAN.floor or (order.machine in GROUP and not left & GROUP):
+            raise Broken(f"{self.now:.3f}: {order.machine} leaves {sorted(left)} in service")
+
     def lead(self, instance: Instance[Orders], live: frozenset[str], waits: Waits) -> None:
         sight = Sight(
             name=instance.name,
@@ -109,10 +127,13 @@
             controllers=self.names,
             live=live,
             waits=waits,
+            pressed=frozenset() if self.broken == "pressed_counts" else frozenset(self.pressed - self.failed),
         )
         step = decide(instance.state, PLAN, sight)
         if step is None:
             return
+        if isinstance(step, Move) and step.to == "leaving":
+            self._check_left(instance.state, step)
         self.fenced += isinstance(step, Move) and step.to == "out" and bool(step.gone)
         self.propose(instance.name, step)
         own = instance.state.of(CONTROLLER, instance.name)
@@ -154,6 +175,9 @@
 
     def trouble(self) -> None:
         server = self.rng.choice(SERVERS)
+        if self.rng.random() < 0.5:
+            self.pressed ^= {server}
+            return
         if server in self.failed:
             self.mended[server] = self.now
         self.failed ^= {server}
--- a/harepick/fleet/checks.py
+++ b/harepick/fleet/checks.py
@@ -409,6 +409,48 @@
     return finding
 
 
+def above_floor(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """What a server that begins to leave leaves in service is the floor at least, under the plan of the
+    revision that was the latest then; but one that had failed, by the rig's doing and for as long as the plan
+    says, may go whatever it leaves. `recovers_s`: seconds after its mending in which it still may."""
+    finding = Finding()
+    plans = {event["index"]: event for event in reversed(_of(events, "adopted")) if "floor" in event.fields}
+    indices = sorted(plans)
+    failing: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    for event in _of(events, "server"):
+        spans = failing[event["server"]]
+        if event["mode"]:
+            spans.append((event.mono, float("inf")))
+        elif spans:
+            spans[-1] = (spans[-1][0], event.mono)
+    out: set[str] = set()
+    judged = 0
+    for event in _orders(events):
+        kind, _, name = event["machine"].partition(":")
+        if kind != "server" or event["state"] not in ("leaving", "back", "cancelled"):
+            continue
+        if event["state"] != "leaving":
+            out.discard(name)
+            continue
+        out.add(name)
+        at = bisect.bisect_left(indices, event.fields.get("index", 0))
+        if not at:
+            continue
+        judged += 1
+        plan = plans[indices[at - 1]]
+        left = sum(amount for server, amount in plan["capacity"].items() if server not in out)
+        failed = any(
+            since + plan["failed_after"] <= event.mono <= until + arguments["recovers_s"]
+            and until - since >= plan["failed_after"]
+            for since, until in failing[name]
+        )
+        if left < plan["floor"] and not failed:
+            why = f"{name} left a capacity of {left:g}, and the floor is {plan['floor']:g}"
+            finding.against("above_floor", why, plan, event)
+    finding.figures = {"floors_judged": judged}
+    return finding
+
+
 def _windows(
     rows: Sequence[Event], check: str, name: str, arguments: Mapping[str, Any], finding: Finding
 ) -> int:
@@ -538,6 +580,7 @@
     "no_fresh_from_out": Check(no_fresh_from_out),
     "handover": Check(handover),
     "within_plan": Check(within_plan),
+    "above_floor": Check(above_floor, ("recovers_s",)),
     "admissions": Check(admissions, ("per_s", "window_s", "epsilon")),
     "admissions_by_caller": Check(admissions_by_caller, ("per_s", "window_s", "epsilon")),
     "concurrency": Check(concurrency, ("server", "most")),
--- a/harepick/fleet/child.py
+++ b/harepick/fleet/child.py
@@ -10,6 +10,7 @@
 import argparse
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 
 from harepick import __main__ as program
 
@@ -58,6 +59,20 @@
     StoreFront.ready = lambda self: self._serving  # type: ignore[method-assign]
 
 
+def _hasty_failure() -> None:
+    """Breaks: a server has failed once several have avoided it for long, and not when it is full."""
+    from harepick.fleet.maintenance.rule import Sight
+    from harepick.fleet.maintenance.steward import Steward
+
+    true = Steward.sight
+
+    def sight(self: Steward) -> Sight | None:
+        found = true(self)
+        return replace(found, failed=found.failed | found.pressed, pressed=frozenset()) if found else None
+
+    Steward.sight = sight  # type: ignore[method-assign]
+
+
 def _borrow() -> None:
     """Breaks: an instance spends only what it holds: its share, its turns, its room at a server."""
     from harepick.enumdns.service import EnumFront
@@ -76,6 +91,7 @@
     "stale-lease": _stale_lease,
     "skip-confirmation": _skip_confirmation,
     "skip-handover": _skip_handover,
+    "hasty-failure": _hasty_failure,
     "borrow": _borrow,
 }
 
--- a/harepick/fleet/limits/steward.py
+++ b/harepick/fleet/limits/steward.py
@@ -11,6 +11,7 @@
 import anyio
 
 from harepick.counters import Counters
+from harepick.fleet.health import Watch
 from harepick.fleet.limits.purse import Limit, Purse
 from harepick.fleet.limits.rule import EVERYONE, Sight, budgets, coin, steps
 from harepick.fleet.limits.settings import VerdictPlan
@@ -59,7 +60,7 @@
         self._replica, self._purse, self._facts = replica, purse, facts
         self._counters, self._log, self._told = counters, log, told
         self._me = replica.settings.replica
-        self._since: dict[str, float] = {}  # server -> avoided here since
+        self._watch = Watch()  # of servers that are avoided here
         self._judged: dict[str, float] = {}  # server -> when this instance judged it last
         self._seen: dict[tuple[int, int], float] = {}  # verdict and its version -> when first seen leading
         self._resting: dict[tuple[str, int], float] = {}  # limit and entry -> since when nobody waits for it
@@ -69,8 +70,9 @@
     async def run(self) -> None:
         """Until cancelled."""
         while True:
-            self._replica.node.demand = self._purse.demands(clock()) | self._heavy()
             self._judge()
+            now = clock()
+            self._replica.node.demand = self._purse.demands(now) | self._heavy() | self._watch.rows(now)
             await self._turn()
             await anyio.sleep(REST)
             await self._replica.changed(EVERY)
@@ -173,12 +175,11 @@
     def _judge(self) -> None:
         """A server that the module here has avoided for so long has failed, for all."""
         facts, now = self._facts(), clock()
-        avoided = facts.avoided if facts and facts.plan.failed_after > 0 else frozenset()
-        self._since = {name: self._since.get(name, now) for name in avoided}
-        if facts is None or not self._replica.may_act():
+        self._watch.look(facts.avoided if facts else frozenset(), now)
+        if facts is None or facts.plan.failed_after <= 0 or not self._replica.may_act():
             return
-        for name, since in self._since.items():
-            long, last = now - since, self._judged.get(name, float("-inf"))
+        for name, long in self._watch.spans(now).items():
+            last = self._judged.get(name, float("-inf"))
             if long >= facts.plan.failed_after and now - last >= min(AGAIN, facts.plan.ttl / 2):
                 self._judged[name] = now
                 self._counters.add("limits.judged")
--- a/harepick/fleet/maintenance/rule.py
+++ b/harepick/fleet/maintenance/rule.py
@@ -28,6 +28,9 @@
     max_out_controllers: int = 1
     floor: float = 0.0
     handover: float = 1.0  # seconds for the callers of a controller that leaves to move (`handover.py`)
+    failed_after: float = (
+        2.0  # seconds for which a server is avoided before it has failed (`fleet/health.py`)
+    )
     capacity: Mapping[str, float] = field(default_factory=dict)
     groups: tuple[Group, ...] = ()
 
@@ -40,10 +43,11 @@
     now: float  # Unix time, for windows alone
     revision: int  # of the configuration that all of this is from
     servers: frozenset[str]  # those that the configuration has ready
-    failed: frozenset[str]  # of these, the ones that are avoided now
+    failed: frozenset[str]  # of these, the ones that have failed
     controllers: tuple[str, ...]  # voting members
     live: frozenset[str]  # members that may hold a lease
     waits: Callable[[int], list[str]]
+    pressed: frozenset[str] = frozenset()  # of the servers, those that give nothing just now
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,13 +83,16 @@
         return Hold(f"{_named(barred)} out or leaving, and max_out is {plan.max_out}", shared=True)
     if server in sight.failed:
         return None  # it gives nothing now: the fleet bears its going
-    serving = sight.servers - barred - sight.failed - {server}
+    serving = sight.servers - barred - sight.failed - sight.pressed - {server}
+    absent = sight.failed | sight.pressed - {server}
+    more = f" ({_named(absent)} failed or avoided)" if absent else ""
     for group in (Group("all servers", sight.servers), *plan.groups):
         if server in group.servers and not group.servers & serving:
-            return Hold(f"it is the last server in service of {group.name}")
+            return Hold(f"it is the last server in service of {group.name}{more}")
     left = sum(plan.capacity.get(name, 1.0) for name in serving)
     if left < plan.floor:
-        return Hold(f"it would leave a capacity of {left:g}, and the floor is {plan.floor:g}", shared=True)
+        why = f"it would leave a capacity of {left:g}, and the floor is {plan.floor:g}{more}"
+        return Hold(why, shared=True)
     return None
 
 
--- a/harepick/fleet/maintenance/settings.py
+++ b/harepick/fleet/maintenance/settings.py
@@ -8,10 +8,11 @@
 from harepick.fleet.maintenance.rule import Group, Plan
 from harepick.settings import SettingsError
 
-KEYS = {"max_out", "max_out_controllers", "floor", "capacity", "group", "handover_s"}
+KEYS = {"max_out", "max_out_controllers", "floor", "capacity", "group", "handover_s", "failed_after_s"}
 MOST_GROUPS = 64
 MOST_CAPACITY = 1e9
 MOST_HANDOVER = 60.0  # seconds
+MOST_FAILED_AFTER = 3600.0
 
 
 def _bad(key: str, why: str) -> SettingsError:
@@ -51,6 +52,9 @@
         max_out_controllers=_count(table, "max_out_controllers"),
         floor=_amount(table.get("floor", 0.0), "floor"),
         handover=_amount(table.get("handover_s", Plan().handover), "handover_s", MOST_HANDOVER),
+        failed_after=_amount(
+            table.get("failed_after_s", Plan().failed_after), "failed_after_s", MOST_FAILED_AFTER
+        ),
         capacity={name: _amount(value, f"capacity.{name}") for name, value in capacity.items()},
         groups=tuple(_group(row, f"group[{n}]", servers) for n, row in enumerate(rows)),
     )
--- a/harepick/fleet/maintenance/steward.py
+++ b/harepick/fleet/maintenance/steward.py
@@ -14,6 +14,7 @@
 import anyio
 
 from harepick.counters import Counters
+from harepick.fleet.health import health
 from harepick.fleet.maintenance.orders import CONTROLLER, Idle, Move, Order, Orders
 from harepick.fleet.maintenance.rule import Plan, Sight, decide, why
 from harepick.log import Log
@@ -34,7 +35,8 @@
     plan: Plan
     revision: int
     servers: frozenset[str]  # ready in the configuration, by name
-    failed: frozenset[str]  # avoided now, by name
+    failed: frozenset[str]  # under a verdict that says so, by name
+    pressed: frozenset[str]  # under a verdict that they are overloaded
     idle: bool  # no calls under way here, and none taken any more
 
 
@@ -58,12 +60,15 @@
             return None
         live, waits = leases
         voters = self._replica.node.raft.membership.voters
+        demands = self._replica.demands()
+        seen = health(demands, live, facts.plan.failed_after, facts.failed, facts.pressed)
         return Sight(
             name=self._me,
             now=time.time(),
             revision=facts.revision,
             servers=facts.servers,
-            failed=facts.failed & facts.servers,
+            failed=seen.failed & facts.servers,
+            pressed=seen.pressed & facts.servers,
             controllers=voters,
             live=live & frozenset(voters),
             waits=waits,
--- a/harepick/store/attach.py
+++ b/harepick/store/attach.py
@@ -100,6 +100,7 @@
         self.limits = LimitSteward(self.replica, self.purse, self._limit_facts, counters, log, self._judging)
         self._auto_gaps: tuple[GapRow, ...] = ()  # those that the fleet has set by itself
         self._judged: frozenset[str] = frozenset()  # servers under a verdict, by name
+        self._honoured: frozenset[str] = frozenset()  # of these, the ones that fresh calls keep away from
         self._verdicts = 0  # version of the list that is followed
         self._holding: set[int] = set()  # numbers of those on it
         self._bound: set[str] = set()  # servers with a limit on calls under way, by name
@@ -172,6 +173,9 @@
                 index=revision.index,
                 max_out=plan.max_out,
                 max_out_controllers=plan.max_out_controllers,
+                floor=plan.floor,
+                failed_after=plan.failed_after,
+                capacity={u.name: plan.capacity.get(u.name, 1.0) for u in config.upstreams if not u.draining},
             )
         self._log.event("store_adopted", revision=revision.number, author=revision.author)
 
@@ -262,7 +266,8 @@
     def _apply_barred(self, config: Enum) -> None:
         config = with_barred(config, self._barred)
         judged = with_barred(config, self._judged)
-        if ready_servers(judged):  # what one controller sees must not stop the fleet
+        self._honoured = self._judged if ready_servers(judged) else frozenset()
+        if self._honoured:  # what one controller sees must not stop the fleet
             config = judged
         self._allowed = ready_servers(config)
         self.front.apply(replace(config, gaps=(*config.gaps, *self._auto_gaps)))
@@ -272,12 +277,13 @@
         config = self._config
         if config is None:
             return None
-        avoided = self.front.avoided
+        verdicts = self.replica.node.machine.verdicts
         return Facts(
             plan=config.maintenance or Plan(),
             revision=self._revision,
             servers=frozenset(u.name for u in config.upstreams if not u.draining),
-            failed=frozenset(u.name for u in config.upstreams if server_name(u.name, u.address) in avoided),
+            failed=self._honoured & verdicts.subjects(FAILED),
+            pressed=self._honoured & verdicts.subjects(OVERLOADED),
             idle=self._handing_over() == CLOSED and self.front.idle,
         )
 
--- a/harepick/store/node.py
+++ b/harepick/store/node.py
@@ -142,6 +142,7 @@
         self._revision = 0  # adopted last
         self._news = (0, 0, 0)  # versions of the orders, shares and verdicts that are followed
         self.demand: Mapping[str, float] = {}  # by limit, calls offered a second; told with each question
+        self._demanded = False  # whether the last telling was of any
         self.demands: dict[str, tuple[float, Mapping[str, float]]] = {}  # instance -> when heard, its demand
         self._snapshot_every = snapshot_every
         self._snapshotting = False
@@ -286,8 +287,9 @@
             self._asked(self.name, self.lease.ask(now), self.machine.applied, now)
         elif leader:
             self._out.append((leader, Ask(self.lease.ask(now), self.machine.applied)))
-            if self.demand:
+            if self.demand or self._demanded:  # that there is none any more is told as well, once
                 self._out.append((leader, Demand(dict(self.demand))))
+            self._demanded = bool(self.demand)
         else:
             self._next_ask = now  # with the first tick that knows a leader
 
--- a/tests/test_fleet_models.py
+++ b/tests/test_fleet_models.py
@@ -28,6 +28,7 @@
         ("lease_ignored", range(1, 60)),
         ("no_wait_after_election", range(1, 60)),
         ("idle_too_early", (1167, 2429, 2976)),  # cut off between telling so and hearing that it is out
+        ("pressed_counts", range(1, 20)),
         ("unguarded", (280, 355, 1252, 1485)),  # two leaders have to decide within a message's time
     ],
 )
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -154,6 +154,7 @@
     return Event(mono, name, event, fields)
 
 
+FLOOR = {"floor": 2.0, "failed_after": 2.0, "capacity": {"s7": 1.0, "s8": 1.0}}
 GOOD = [
     at(0.0, "a", "began"),
     at(0.1, "rig", "process", what="serving", whom="a"),
@@ -169,7 +170,11 @@
         at(3.0 + n / 10, "a", "order", order=1, machine="server:s0", state=state, version=n + 1)
         for n, state in enumerate(("waiting", "leaving", "out", "back"))
     ],
-    at(4.0, "a", "adopted", revision=3, index=40, max_out=1, max_out_controllers=1),
+    at(4.0, "a", "adopted", revision=3, index=40, max_out=1, max_out_controllers=1, **FLOOR),
+    at(5.2, "rig", "server", server="s7", mode="silent"),
+    at(8.2, "a", "adopted", revision=4, index=80, max_out=9, max_out_controllers=1, **FLOOR),
+    at(8.3, "a", "order", order=5, machine="server:s7", state="leaving", version=30, index=90),
+    at(8.4, "a", "order", order=5, machine="server:s7", state="back", version=31, index=91),
     *[
         at(4.1 + n / 10, "a", "order", order=2, machine="controller:b", state=s, version=n + 5, index=n + 50)
         for n, s in enumerate(("waiting", "leaving", "out"))
@@ -208,9 +213,18 @@
     (
         "within_plan",
         [
-            at(6.5, "a", "order", order=3, machine="server:s7", state="leaving", version=9, index=70),
+            at(6.5, "a", "order", order=3, machine="server:s6", state="leaving", version=9, index=70),
             at(6.6, "a", "adopted", revision=4, index=71, max_out=0, max_out_controllers=1),
-            at(6.7, "a", "order", order=3, machine="server:s7", state="back", version=10, index=72),
+            at(6.7, "a", "order", order=3, machine="server:s6", state="back", version=10, index=72),
+            at(6.9, "a", "order", order=4, machine="server:s6", state="back", version=12, index=74),
+            at(6.8, "a", "order", order=4, machine="server:s6", state="leaving", version=11, index=73),
+        ],
+    ),
+    (
+        "above_floor",
+        [
+            at(6.4, "a", "order", order=3, machine="server:s8", state="leaving", version=9, index=70),
+            at(6.5, "a", "order", order=3, machine="server:s8", state="back", version=10, index=71),
             at(6.8, "a", "order", order=4, machine="server:s7", state="leaving", version=11, index=73),
         ],
     ),
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -28,7 +28,7 @@
 from harepick.fleet.processes import ROOT, udp_owner
 from harepick.fleet.relay import Relay, RelayError, on_loopback, store_speaker
 from harepick.fleet.scenario import make_scenario, read_scenario
-from harepick.fleet.upkeep import Upkeep
+from harepick.fleet.upkeep import Upkeep, steady
 from harepick.store.wire import LENGTH, Hello, frame
 from tests.peers import until
 
@@ -678,3 +678,68 @@
     assert report.ok, (report.line(), [v.why for v in report.told][:3])
     admitted = [e for e in report.events if e.event == "admitted" and 3.0 <= e.mono - report.start < 8.0]
     assert 75 <= len(admitted) <= 168 and {e.name for e in admitted} == {"a", "b", "c"}
+
+
+# A server that fails for moments, again and again, is asked out while the floor needs it.
+PULSES = """
+instances = 3
+servers = 2
+lease_ms = 600
+seconds = 7.0
+settings = "[maintenance]\\nfloor = 2.0\\nfailed_after_s = 6.5\\n"
+[load]
+rate = 150.0
+[[fault]]
+kind = "server"
+whom = "s0"
+mode = "silent"
+at = 0.8
+every_s = 1.7
+for_s = 0.9
+[checks]
+above_floor = { recovers_s = 1.0 }
+no_fresh_to_out = {}
+one_answer = {}
+complete = {}
+no_crash = {}
+"""
+
+
+async def ask_and_look(play: Play, machine: str, until: float) -> list[dict[str, Any]]:
+    """Asks for a machine right away, and tells how its order stood at each look; cancels it at the end."""
+    seen = []
+    async with play.client() as client:
+        found = await steady(client, "maint_request", {"machine": machine, "reason": "upkeep"})
+        with anyio.move_on_after(until):
+            while True:
+                listed = await steady(client, "maint_list", {})
+                seen += [row for row in listed["orders"] if row["order"] == found["order"]]
+                await anyio.sleep(0.1)
+        await steady(client, "maint_cancel", {"order": found["order"]})
+    return seen
+
+
+def play_pulses(folder: Path, more: str = "") -> tuple[Report, list[dict[str, Any]]]:
+    seen: list[dict[str, Any]] = []
+
+    async def beside(play: Play) -> None:
+        seen.extend(await ask_and_look(play, "server:s0", 6.0))
+
+    scenario = make_scenario(tomllib.loads(PULSES + more), "test")
+    return anyio.run(Play(scenario, 1, folder, beside=beside).run), seen
+
+
+@pytest.mark.fleet
+def test_a_server_that_fails_for_moments_does_not_go_out_below_the_floor(tmp_path: Path) -> None:
+    report, seen = play_pulses(tmp_path)
+    assert report.ok, (report.line(), [v.why for v in report.told])
+    assert {row["state"] for row in seen} == {"waiting"} and len(seen) > 10
+    assert any("the floor is 2" in row["why"] for row in seen if row["why"])
+
+
+@pytest.mark.fleet
+def test_its_twin_that_takes_a_full_server_for_a_failed_one_is_found_out(tmp_path: Path) -> None:
+    doubles = "".join(f'{name} = "hasty-failure"\n' for name in "abc")
+    report, seen = play_pulses(tmp_path, "[double]\n" + doubles)
+    assert not report.error and fails(report).keys() == {"above_floor"}, fails(report)
+    assert {"leaving", "out"} & {row["state"] for row in seen}
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -143,6 +143,25 @@
     assert log.state(last) == "waiting", "the only one that still serves was taken out"
 
 
+def test_one_that_is_full_for_a_moment_has_not_failed_and_does_not_count_as_in_service() -> None:
+    """Shut by its occupancy at the leader, a sound server went as if it had failed, the last of its group."""
+    plan = Plan(max_out=4, floor=1.0, groups=(Group("Kandy", frozenset({"s0", "s1"})),))
+    log, seen = Log(), sight(pressed=frozenset({"s0"}))
+    one, two, three = log.ask("s0"), log.ask("s1"), log.ask("s2")
+    log.settle(plan, seen)
+    assert [log.state(n) for n in (one, two, three)] == ["out", "waiting", "out"]
+    log = Log()
+    last = log.ask("s1")
+    log.settle(plan, seen)
+    assert log.state(last) == "waiting", "the other one of Kandy is full just now"
+    order = log.orders.get(last)
+    assert order and "last server in service of Kandy (s0 is failed or avoided)" in why(
+        order, log.orders, plan, seen
+    )
+    log.settle(plan, sight())
+    assert log.state(last) == "out"
+
+
 def test_a_window_opens_and_closes_and_holds_nobody_else_back() -> None:
     log, plan = Log(), Plan()
     later, now = log.ask("s0", opens=200.0, closes=300.0), log.ask("s1")
@@ -322,10 +341,11 @@
         super().__init__()
         self.log = Log()
         self.failed: frozenset[str] = frozenset()
+        self.pressed: frozenset[str] = frozenset()
         self.live = frozenset(NAMES)
 
     def seen(self) -> Sight:
-        return sight(failed=self.failed, live=self.live)
+        return sight(failed=self.failed, pressed=self.pressed - self.failed, live=self.live)
 
     @rule(name=st.sampled_from(sorted(SERVERS)), priority=st.integers(-1, 1))
     def ask(self, name: str, priority: int) -> None:
@@ -347,6 +367,10 @@
     def fail_or_mend(self, name: str) -> None:
         self.failed = self.failed ^ {name}
 
+    @rule(name=st.sampled_from(sorted(SERVERS)))
+    def press_or_ease(self, name: str) -> None:
+        self.pressed = self.pressed ^ {name}
+
     @rule(name=st.sampled_from(NAMES[1:]))
     def lose_or_find(self, name: str) -> None:
         self.live = self.live ^ {name}
@@ -360,7 +384,8 @@
             order = self.log.orders.get(found.order)
             assert order and hold(order, self.log.orders, self.plan, self.seen()) is None
             if order.kind == SERVER and order.machine not in self.failed:
-                serving = SERVERS - self.log.orders.barred(SERVER) - self.failed - {order.machine}
+                serving = SERVERS - self.log.orders.barred(SERVER) - self.failed - self.pressed
+                serving -= {order.machine}
                 assert sum(self.plan.capacity.get(s, 1.0) for s in serving) >= self.plan.floor
                 assert serving & {"s0", "s1"} or order.machine not in {"s0", "s1"}
         self.log.apply(found)
@@ -389,6 +414,7 @@
         ("max_out = true", "maintenance.max_out"),
         ("floor = -0.5", "maintenance.floor"),
         ("handover_s = 61", "maintenance.handover_s"),
+        ("failed_after_s = -1", "maintenance.failed_after_s"),
         ("capacity = { s9 = 1 }", "maintenance.capacity.s9"),
         ("capacity = { s0 = 'x' }", "maintenance.capacity.s0"),
         ('group = [{ name = "x", servers = ["s9"] }]', "maintenance.group[0].servers"),
@@ -408,5 +434,5 @@
     )
     config = read_shared(SHARED + "[maintenance]\n" + text)
     groups = (Group("x", frozenset({"s0"})),)
-    assert config.maintenance == Plan(2, 1, 1.5, 1.0, {"s0": 2.0}, groups)
+    assert config.maintenance == Plan(2, 1, 1.5, 1.0, 2.0, {"s0": 2.0}, groups)
     assert read_shared(SHARED).maintenance is None
