Ask another replica when the one that was asked hangs, instead of waiting for it

Ruled out: the store itself, whose other instances had a new leader 0.5 s after the pause.

Change: what may be repeated (reads, and changes under their session and number) is asked elsewhere after 4 s; the replica's own wait ends a little before, so that its answer is heard. A replica has 1.5 s to welcome a tool (3 before). What may not be repeated (`add`, `remove`, `transfer`) waits as it did.

Measured: the new test (leader stopped while a tool's line to it is up) passes and fails without the change: the tool gives up after its 30 s.

--- a/harepick/store/client.py
+++ b/harepick/store/client.py
@@ -18,7 +18,10 @@
 from harepick.store.transport import opening
 from harepick.store.wire import LOST, Frames, Hello, Request, Response, WireError
 
-TRY = 3.0  # seconds for one replica to welcome us
+TRY = 1.5  # seconds for one replica to welcome us
+# Seconds for one replica to answer what may be repeated. A leader that hangs keeps its connections open and
+# says nothing; the others have another leader long before a tool's own time is over.
+PATIENCE = 4.0
 PAUSE = 0.1  # seconds between two rounds through the replicas
 AGAIN = ("not_leader", "busy", "lost", "unavailable")
 NUMBERED = ("set", "rollback", "maint_request", "maint_cancel", "maint_done", "verdict_judge", "verdict_lift")
@@ -117,10 +120,13 @@
             where = hints.pop() if hints else self._addresses[tried % len(self._addresses)]
             asked = False
             try:
-                with anyio.fail_after(left):
+                most = left if once else min(left, PATIENCE)
+                with anyio.fail_after(most):
                     line = await self._connect(where)
                     asked = True
-                    number = await line.ask(method, sent | {"wait": max(0.05, min(left, 55.0))})
+                    # It gives up a little earlier than we do, so that its answer is heard.
+                    wait = max(0.05, min(0.9 * most, 55.0))
+                    number = await line.ask(method, sent | {"wait": wait})
                     response = await line.hear(number)
             except LOST as error:
                 await self.close()
--- a/tests/test_store_daemons.py
+++ b/tests/test_store_daemons.py
@@ -263,6 +263,30 @@
         assert len(made.ask("config", "history").splitlines()) == 3
 
 
+def test_a_change_is_carried_out_by_others_when_the_leader_that_was_asked_hangs(
+    upstream: Upstream, tmp_path: Path
+) -> None:
+    """Its connections stay open: a tool waited for its answer until its own time was over."""
+    with cluster(3, config_text(("north", upstream.port))) as made:
+        leader = made.leader()
+        serving(leader)
+
+        async def change() -> None:
+            where = [address(f"{HOST}:{d.store_port}", "") for d in made.daemons]
+            async with StoreClient(made.name, where) as client:
+                assert (await client.call("get", {}, 5.0))["revision"] == 1  # the line to the leader is up
+                leader.pause()
+                found = await client.call("set", {"text": config_text(("east", upstream.port))}, 30.0)
+                assert found["revision"] == 2
+
+        began = time.monotonic()
+        anyio.run(change)
+        assert time.monotonic() - began < 25.0, "it waited for the one that hangs"
+        leader.resume()
+        serving(leader)
+        assert len(made.ask("config", "history").splitlines()) == 2
+
+
 def test_members_come_and_go_and_the_leader_may_be_among_them(upstream: Upstream, tmp_path: Path) -> None:
     with cluster(3, config_text(("north", upstream.port))) as made:
         leader = made.leader()
