Drop voters that are lost for long, and take them back when they return

Change: `harepick/fleet/membership/`, off unless `[membership] drop_after_s` is set. A voter without a lease for so long is marked on a replicated roster, removed, and taken back (learner, then voter) once it knocks with the folder that is pinned; never below `keep` voters, never without a majority of those left, never one that is out for work. Each step is written down first, so that the next leader goes on from it. `store members` and GET /api/members tell who is absent; `store remove` takes one off for good. The rig checks `voters_kept`.

--- a/benchmarks/store_cost.py
+++ b/benchmarks/store_cost.py
@@ -219,7 +219,9 @@
         victim = next(d for d in made.daemons if d not in (leader, on))
         for daemon in (off, on):
             window(daemon.dns_port, 1.0, 0)  # what a front in service knows of its upstream
-        rounds = 3
+        rounds = max(
+            3, int(wanted.seconds // 20)
+        )  # many short windows: what the machine does meets all modes
         span = max(1.0, wanted.seconds / rounds / len(MODES))
         for k in range(rounds):
             for mode in MODES:
--- a/harepick/cli/store.py
+++ b/harepick/cli/store.py
@@ -113,9 +113,14 @@
 @store_options
 def members(store: Store) -> None:
     """List the members as the store knows them."""
-    rows = store.ask(lambda c: c.call("status", {}, store.within))["members"]
+    found = store.ask(lambda c: c.call("status", {}, store.within))
     kinds = {True: "voter", False: "learner"}
-    lines = [f"{m['replica']:<12} {m['address']:<24} {kinds[m['voter']]}" for m in rows]
+    rows = found["members"] + [row | {"voter": False} for row in found["absent"]]
+    lines = [
+        f"{m['replica']:<12} {m['address']:<24} "
+        + (f"{m['state']}: {m['why']}" if "state" in m else kinds[m["voter"]])
+        for m in rows
+    ]
     store.tell(rows, "\n".join(lines))
 
 
@@ -136,7 +141,9 @@
 @click.argument("replica")
 @store_options
 def remove(store: Store, replica: str) -> None:
-    """Remove REPLICA for good: its name and folder are not let in again."""
+    """Remove REPLICA for good: its name and folder are not let in again.
+
+    Also one that the fleet dropped by itself, so that it is not taken back when it returns."""
     found = store.ask(lambda c: c.call("remove", {"replica": replica}, store.within))
     store.tell(found, f"{replica} removed")
 
--- a/harepick/fleet/checks.py
+++ b/harepick/fleet/checks.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import bisect
+import itertools
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -451,6 +452,35 @@
     return finding
 
 
+def voters_kept(events: Sequence[Event], arguments: Mapping[str, Any]) -> Finding:
+    """Never fewer than `least` voters, and from one committed membership to the next one voter more or less;
+    every instance tells the same of the same entry."""
+    finding = Finding()
+    at: dict[int, Event] = {}  # entry up to which it was committed -> the first that told
+    for event in _of(events, "voters"):
+        if not event["voters"]:
+            continue  # one that joins, and knows of none yet
+        first = at.setdefault(event["index"], event)
+        if first["voters"] != event["voters"]:
+            why = f"{first.name} and {event.name} tell entry {event['index']} differently"
+            finding.against("voters_kept", why, first, event)
+        if len(event["voters"]) < arguments["least"]:
+            why = f"{len(event['voters'])} voters were left, {arguments['least']:g} have to be"
+            finding.against("voters_kept", why, event)
+    ordered = [at[index] for index in sorted(at)]
+    for before, after in itertools.pairwise(ordered):
+        if len(set(before["voters"]) ^ set(after["voters"])) > 1:
+            why = f"from {before['voters']} to {after['voters']} in one step"
+            finding.against("voters_kept", why, before, after)
+    counts = [len(event["voters"]) for event in ordered]
+    finding.figures = {
+        "memberships": len(ordered),
+        "fewest_voters": min(counts, default=0),
+        "voters_at_end": counts[-1] if counts else 0,
+    }
+    return finding
+
+
 def _windows(
     rows: Sequence[Event], check: str, name: str, arguments: Mapping[str, Any], finding: Finding
 ) -> int:
@@ -580,6 +610,7 @@
     "no_fresh_from_out": Check(no_fresh_from_out),
     "handover": Check(handover),
     "within_plan": Check(within_plan),
+    "voters_kept": Check(voters_kept, ("least",)),
     "above_floor": Check(above_floor, ("recovers_s",)),
     "admissions": Check(admissions, ("per_s", "window_s", "epsilon")),
     "admissions_by_caller": Check(admissions_by_caller, ("per_s", "window_s", "epsilon")),
--- /dev/null
+++ b/harepick/fleet/membership/steward.py
@@ -0,0 +1,117 @@
+"""The steward of one instance: while it leads, it watches who holds a lease and takes the rule's steps."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from harepick.counters import Counters
+from harepick.fleet.membership.roster import Mark, Roster
+from harepick.fleet.membership.rule import Add, Member, Plan, Remove, Sight, Step, decide, stays
+from harepick.log import Log
+from harepick.store.machine import Envelope, Refused
+from harepick.store.raft.core import BadChangeError, BusyError, NotLeaderError
+from harepick.store.replica import Replica, StoreUnavailableError, clock
+
+EVERY = 0.2  # seconds between two looks, if nothing wakes it
+REST = 0.05  # between two looks in any case
+WITHIN = 5.0  # for one step to be committed
+KNOCKS = 3.0  # seconds for which one that was turned away counts as being there
+
+
+class RosterSteward:
+    def __init__(
+        self, replica: Replica, plan: Callable[[], Plan | None], counters: Counters, log: Log
+    ) -> None:
+        """`plan` gives None as long as there is no configuration."""
+        self._replica, self._plan = replica, plan
+        self._counters, self._log = counters, log
+        self._since: dict[str, float] = {}  # member -> since when it holds no lease, seen while leading
+
+    @property
+    def roster(self) -> Roster:
+        return self._replica.node.machine.roster
+
+    def sight(self) -> Sight | None:
+        """None while this instance does not lead, or can't know yet who holds a lease."""
+        leases = self._replica.leases()
+        if leases is None:
+            self._since.clear()
+            return None
+        raft, now = self._replica.node.raft, clock()
+        members = {m.id: Member(m.address, m.voter) for m in raft.membership.members}
+        self._since = {name: self._since.get(name, now) for name in members if name not in leases[0]}
+        knocks = self._replica.knocks
+        orders = self._replica.node.machine.orders
+        return Sight(
+            name=self._replica.settings.replica,
+            now=time.time(),
+            settled=raft.membership_index <= raft.commit,
+            members=members,
+            gone={name: now - since for name, since in self._since.items()},
+            knocking=frozenset(n for n, at in knocks.items() if n not in members and now - at < KNOCKS),
+            resting=orders.barred("controller"),
+        )
+
+    async def run(self) -> None:
+        """Until cancelled."""
+        while True:
+            try:
+                await self._turn()
+            except (NotLeaderError, BusyError, BadChangeError, StoreUnavailableError):
+                self._counters.add(
+                    "roster.not_done"
+                )  # another leads, or a change is under way: it looks anew
+            await anyio.sleep(REST)
+            await self._replica.changed(EVERY)
+
+    async def _turn(self) -> None:
+        plan, sight = self._plan(), self.sight()
+        if plan is None or sight is None:
+            return
+        step = decide(self.roster, plan, sight)
+        if step is not None:
+            await self._carry_out(step)
+
+    async def _carry_out(self, step: Step) -> None:
+        match step:
+            case Remove(instance):
+                await self._replica.remove(instance, WITHIN)
+                self._told("member_removed", instance)
+            case Add(instance, address):
+                await self._replica.add(instance, address, WITHIN)
+                self._told("member_added", instance)
+            case Mark(instance, state, why=why):
+                answer = await self._replica.change(Envelope("", 0, step), WITHIN)
+                if isinstance(answer, Refused):
+                    self._counters.add("roster.refused")
+                    self._log.event("roster_refused", why=answer.why)
+                    return
+                self._told(f"member_{state or 'present'}", instance, why)
+
+    def _told(self, event: str, instance: str, why: str = "") -> None:
+        self._counters.add(f"roster.{event}")
+        self._log.event(event, instance=instance, why=why)
+
+    def status(self) -> dict[str, Any]:
+        """Who is absent, as last applied here; and, where this instance leads, who is gone and why it still
+        is a member."""
+        plan, sight = self._plan() or Plan(), self.sight()
+        gone = sight.gone if sight else {}
+        return {
+            "instance": self._replica.settings.replica,
+            "current": self._replica.may_act(),
+            "drop_after_s": plan.drop_after,
+            "keep": plan.keep,
+            "absent": [
+                {"replica": a.instance, "state": a.state, "address": a.address, "why": a.why, "at": a.at}
+                for a in self.roster.absent
+            ],
+            "gone": [
+                {"replica": name, "for_s": round(span, 1), "stays": stays(name, plan, sight) if sight else ""}
+                for name, span in gone.items()
+            ],
+        }
--- a/harepick/settings.py
+++ b/harepick/settings.py
@@ -93,6 +93,7 @@
     maintenance: Any = None  # `harepick.fleet.maintenance.rule.Plan`; None: the defaults of one
     limits: tuple[Any, ...] = ()  # `harepick.fleet.limits.purse.Limit`s of `[[limit]]`
     verdicts: Any = None  # `harepick.fleet.limits.settings.VerdictPlan`; None: the defaults of one
+    membership: Any = None  # `harepick.fleet.membership.rule.Plan`; None: nobody is dropped
     autogap: Any = None  # `harepick.gapping.auto.AutoPlan`; None: no gap sets itself
 
 
@@ -296,7 +297,8 @@
 
 # The operator's file
 
-FLEET = ("maintenance", "limit", "verdicts", "autogap")  # hold for all instances of a store, and need one
+# Sections that hold for all instances of a store, and need one.
+FLEET = ("maintenance", "limit", "verdicts", "autogap", "membership")
 KNOWN_KEYS = {
     "enum": {"listen", "suffix", "class", "deadline_ms", "edns_size", "tcp_clients", "tcp_idle_s", "seed"},
     "class": {"aim_ms", "worth", "late_share"},
@@ -416,6 +418,7 @@
         limits=_limits(table.get("limit"), {u.name for u in upstreams}),
         verdicts=_verdicts(table.get("verdicts")),
         autogap=_autogap(table.get("autogap")),
+        membership=_membership(table.get("membership")),
     )
 
 
@@ -447,6 +450,14 @@
         raise SettingsError(f"setting {error}") from None
 
 
+def _membership(table: Any) -> Any:
+    if table is None:
+        return None
+    from harepick.fleet.membership.settings import read_membership
+
+    return read_membership(table)
+
+
 def _maintenance(table: Any, servers: set[str]) -> Any:
     """What may be out for work at once; nothing of its reader is loaded without it."""
     if table is None:
--- a/harepick/store/attach.py
+++ b/harepick/store/attach.py
@@ -38,6 +38,8 @@
 from harepick.fleet.maintenance.orders import CONTROLLER, SERVER
 from harepick.fleet.maintenance.rule import Plan
 from harepick.fleet.maintenance.steward import Facts, Steward, with_barred
+from harepick.fleet.membership.rule import Plan as RosterPlan
+from harepick.fleet.membership.steward import RosterSteward
 from harepick.gapping.config import Row as GapRow
 from harepick.gapping.detector import Detector
 from harepick.gapping.gaps import NONE
@@ -100,6 +102,7 @@
         self.replica = Replica(settings, counters, log, self._adopt, self._follow)
         self.steward = Steward(self.replica, self._facts, counters, log)
         self.limits = LimitSteward(self.replica, self.purse, self._limit_facts, counters, log, self._judging)
+        self.roster = RosterSteward(self.replica, self._roster_plan, counters, log)
         self._auto_gaps: tuple[GapRow, ...] = ()  # those that the fleet has set by itself
         self._judged: frozenset[str] = frozenset()  # servers under a verdict, by name
         self._honoured: frozenset[str] = frozenset()  # of these, the ones that fresh calls keep away from
@@ -289,6 +292,9 @@
             idle=self._handing_over() == CLOSED and self.front.idle,
         )
 
+    def _roster_plan(self) -> RosterPlan | None:
+        return (self._config.membership or RosterPlan()) if self._config else None
+
     def _limit_facts(self) -> LimitFacts | None:
         config = self._config
         if config is None:
@@ -354,6 +360,7 @@
             await tasks.start(self.replica.run)
             tasks.start_soon(self.steward.run)
             tasks.start_soon(self.limits.run)
+            tasks.start_soon(self.roster.run)
             tasks.start_soon(self._ask_turns)
             tasks.start_soon(self._allot_again)
             tasks.start_soon(self._tell_view)
@@ -362,7 +369,11 @@
             if self._ops:  # off unless configured: not even loaded then
                 from harepick.ops import OpsListener
 
-                pages = {"/api/maintenance": self.steward.status, "/api/limits": self.limits.status}
+                pages = {
+                    "/api/maintenance": self.steward.status,
+                    "/api/limits": self.limits.status,
+                    "/api/members": self.roster.status,
+                }
                 await tasks.start(OpsListener(self._ops, self, self._counters, self._log, pages).run)
                 tasks.start_soon(self._until_stopped, stop)
             if self._first is not None:
@@ -377,11 +388,16 @@
         self._serving = False
 
     async def _tell_history(self, history: Recorder) -> None:
-        """Changes of role, and of whether this instance may act."""
+        """Changes of role, and of the members as committed."""
         history.note("began", process=os.getpid())
         seen: tuple[object, ...] = ()
+        settled: object = None
         while True:
             node = self.replica.node
+            told = node.raft.settled_membership
+            if told != settled:
+                settled = told
+                history.note("voters", voters=told[1].voters, index=told[0])
             now = (node.raft.role.value, node.raft.term, node.raft.leader, node.stopped)
             if now != seen:
                 seen = now
--- a/harepick/store/machine.py
+++ b/harepick/store/machine.py
@@ -25,6 +25,7 @@
     VerdictsState,
 )
 from harepick.fleet.maintenance import Move, OrderCommand, Orders, OrdersState, RefusedOrderError
+from harepick.fleet.membership import Mark, RefusedMarkError, Roster, RosterState
 from harepick.gapping import Allotment, Ask
 
 FORMAT = 1  # of entries and snapshots; first byte of each
@@ -95,7 +96,7 @@
     most: int = 16  # slots at once
 
 
-Command = Put | RollBack | View | AskTurns | OrderCommand | LimitCommand | VerdictCommand
+Command = Put | RollBack | View | AskTurns | OrderCommand | LimitCommand | VerdictCommand | Mark
 
 
 class Envelope(Struct, frozen=True):
@@ -144,7 +145,7 @@
 
 
 class Shared(Struct, frozen=True, tag="shared"):
-    """A step of the limits or verdicts took effect."""
+    """A step of the limits, verdicts or roster took effect."""
 
     index: int
 
@@ -179,6 +180,7 @@
     orders: OrdersState = msgspec.field(default_factory=OrdersState)
     shares: SharesState = msgspec.field(default_factory=SharesState)
     verdicts: VerdictsState = msgspec.field(default_factory=VerdictsState)
+    roster: RosterState = msgspec.field(default_factory=RosterState)
 
 
 _envelope = msgspec.msgpack.Decoder(Envelope)
@@ -211,6 +213,7 @@
         self.orders = Orders()  # machines out for work
         self.shares = Shares()  # of limits
         self.verdicts = Verdicts()
+        self.roster = Roster()  # of absent members
 
     @property
     def latest(self) -> Revision | None:
@@ -278,6 +281,12 @@
                     return Refused(why)
                 # `Done` is answered once all that may act honour it.
                 return Done(number, index) if isinstance(command, Judge) else Shared(index)
+            case Mark():
+                try:
+                    self.roster.apply(command)
+                except RefusedMarkError as error:
+                    return Refused(str(error))
+                return Shared(index)
             case _:
                 return self._order(index, command)
 
@@ -339,6 +348,7 @@
             self.orders.dump(),
             self.shares.dump(),
             self.verdicts.dump(),
+            self.roster.dump(),
         )
         return bytes([FORMAT]) + msgspec.msgpack.encode(state)
 
@@ -360,3 +370,4 @@
         self.orders = Orders(state.orders)
         self.shares = Shares(state.shares)
         self.verdicts = Verdicts(state.verdicts)
+        self.roster = Roster(state.roster)
--- a/harepick/store/operators.py
+++ b/harepick/store/operators.py
@@ -15,10 +15,11 @@
 from anyio.to_thread import run_sync
 
 from harepick.counters import Counters
+from harepick.fleet.membership.roster import PRESENT, Mark
 from harepick.gapping.since import dated
 from harepick.settings import SettingsError, read_shared
 from harepick.store import wire
-from harepick.store.machine import Conflict, Done, Envelope, Put, Refused, Revision, RollBack
+from harepick.store.machine import Conflict, Done, Envelope, Put, Refused, Revision, RollBack, Shared
 from harepick.store.node import Answer
 from harepick.store.raft.core import BadChangeError, BusyError, NotLeaderError
 from harepick.store.replica import Replica, StoreUnavailableError
@@ -232,7 +233,20 @@
         return _result(await self._replica.add(name, where, wait))
 
     async def remove(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
-        return _result(await self._replica.remove(argument_text(arguments, "replica"), wait))
+        name = argument_text(arguments, "replica")
+        found: dict[str, Any] = {}
+        if self._replica.node.raft.membership.get(name) or not self._replica.node.machine.roster.get(name):
+            found = _result(await self._replica.remove(name, wait))
+        roster = self._replica.node.machine.roster
+        if roster.get(name):  # for good: it is not taken back when it returns
+            mark = Mark(name, PRESENT, roster.version, why="removed by hand")
+            answer = await self._replica.change(Envelope("", 0, mark), wait)
+            if not isinstance(answer, Shared):
+                raise OutcomeError(
+                    "conflict", f"the roster changed meanwhile ({answer}): remove {name} again"
+                )
+            found = found or {"index": answer.index}
+        return found
 
     async def transfer(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
         await self._replica.transfer(argument_text(arguments, "replica"), wait)
--- a/harepick/store/raft/core.py
+++ b/harepick/store/raft/core.py
@@ -151,6 +151,11 @@
     def membership_at(self, index: int) -> Membership:
         return next(m for at, m in reversed(self._memberships) if at <= index)
 
+    @property
+    def settled_membership(self) -> tuple[int, Membership]:
+        """The latest that is committed here, and the entry that it came with or was compacted to."""
+        return next(row for row in reversed(self._memberships) if row[0] <= self.commit)
+
     @property
     def led(self) -> bool:
         """A leader was heard of lately, or this is one that its quorum hears."""
--- a/harepick/store/replica.py
+++ b/harepick/store/replica.py
@@ -107,6 +107,7 @@
         self._changed = anyio.Event()  # something to look at: a revision, a role, members
         self._seen: tuple[object, ...] = ()
         self._members_seen: object = None
+        self.knocks: dict[str, float] = {}  # no member, but known by its folder -> when turned away last
         self._stopped_told = False
         self.identity: Identity
         self.node: Node
@@ -155,6 +156,7 @@
         self.transport = Transport(
             self.identity, self.settings.listen, pins, self._heard, self._pin, self._counters, self._log
         )
+        self.transport.knocked = self._knocked
         self._log.event(
             "store_open",
             replica=self.identity.replica,
@@ -238,6 +240,7 @@
             rows = {m.id: m.address for m in (*settled.members, *now.members)}
             # One that knows no members yet has to listen to whoever adds it.
             self.transport.members(rows, lambda name: not rows or name in rows)
+            self.notify()
         if self.node.stopped and not self._stopped_told:
             self._stopped_told = True
             self._counters.add("store.stopped")
@@ -284,6 +287,9 @@
     def _heard(self, sender: str, message: PeerMessage) -> None:
         self._put(lambda: self.node.receive(sender, message, clock()))
 
+    def _knocked(self, name: str) -> None:
+        self.knocks[name] = clock()  # bounded as the pins are: by all who ever were members
+
     async def _ask(self, work: Callable[[_Waiter], Any], most: float) -> Answer:
         """Has the owning task carry that out, and waits for the answer, for `most` seconds."""
         if self.node.stopped:
@@ -451,6 +457,10 @@
                 }
                 for m in raft.membership.members
             ],
+            "absent": [
+                {"replica": row.instance, "address": row.address, "state": row.state, "why": row.why}
+                for row in node.machine.roster.absent
+            ],
             "peers": self.transport.status(),
         }
         if raft.role is Role.LEADER:
--- a/harepick/store/transport.py
+++ b/harepick/store/transport.py
@@ -77,6 +77,7 @@
         self._tasks: TaskGroup | None = None
         self._may_speak: Callable[[str], bool] = lambda name: True
         self._knows_members = False
+        self.knocked: Callable[[str], None] = lambda name: None  # no member, but known by its folder
         self.serve_tool: Serve | None = None
 
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
@@ -270,6 +271,8 @@
         if hello.replica == me.replica:
             return f"replica {hello.replica!r} is this one"
         if not self._may_speak(hello.replica):
+            if self._pins.get(hello.replica) == hello.folder:
+                self.knocked(hello.replica)
             return f"replica {hello.replica!r} is no member"
         if len(self._heard) >= MOST_PEERS:
             return "too many peers"
--- a/tests/test_fleet_models.py
+++ b/tests/test_fleet_models.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from benchmarks import gap_model, limit_model, maint_model
+from benchmarks import gap_model, heal_model, limit_model, maint_model
 
 
 def test_some_hundred_schedules_keep_the_budget_and_the_fence() -> None:
@@ -89,3 +89,18 @@
     found = [text for seed in seeds if (text := gap_model.schedule(seed, broken)[1])]
     assert found, f"{broken} was not found in {len(seeds)} schedules"
     assert not any(gap_model.schedule(seed)[1] for seed in seeds)
+
+
+def test_some_worlds_drop_and_take_back_members_and_break_no_rule() -> None:
+    dropped = taken_back = 0
+    for seed in range(1, 7):
+        stats, found = heal_model.schedule(seed)
+        assert not found, found
+        dropped += stats["dropped"]
+        taken_back += stats["taken_back"]
+    assert dropped > 6 and taken_back > 6
+
+
+@pytest.mark.parametrize(("broken", "seeds"), [("keeps_none", (8, 9, 19)), ("forgets", (1, 2))])
+def test_a_broken_rule_of_membership_is_found(broken: str, seeds: range | tuple[int, ...]) -> None:
+    assert any(heal_model.schedule(seed, broken)[1] for seed in seeds)
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -159,6 +159,9 @@
     at(0.0, "a", "began"),
     at(0.1, "rig", "process", what="serving", whom="a"),
     at(0.2, "a", "role", role="leader", term=1, stopped=""),
+    at(0.3, "a", "voters", voters=["a", "b", "c"], index=1),
+    at(0.4, "b", "voters", voters=[], index=0),
+    at(0.5, "b", "voters", voters=["a", "b"], index=3),
     at(1.0, "a", "adopted", revision=1),
     at(1.1, "a", "left", revision=1, call="1", server="s9@1"),
     at(1.2, "rig", "lookup", instance="a", answers=1, rcode=0),
@@ -220,6 +223,8 @@
             at(6.8, "a", "order", order=4, machine="server:s6", state="leaving", version=11, index=73),
         ],
     ),
+    ("voters_kept", at(3.05, "a", "voters", voters=["a", "c"], index=3)),
+    ("voters_kept", at(3.05, "a", "voters", voters=["c"], index=9)),
     (
         "above_floor",
         [
