Share the store's worlds' rows and totals between the two models that play them

heal_model's main repeated store_model's report; both take row, summed and arguments from one place now.

--- a/benchmarks/heal_model.py
+++ b/benchmarks/heal_model.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import argparse
 import contextlib
 import sys
 import time
@@ -17,7 +16,7 @@
 from functools import partial
 
 from benchmarks.daemons import print_line
-from benchmarks.store_model import LEASE, Host, ViolationError, World, play
+from benchmarks.store_model import LEASE, Host, Row, ViolationError, World, arguments, play, row, summed
 from harepick.fleet.membership.roster import LEAVING, Mark
 from harepick.fleet.membership.rule import Add, Member, Plan, Remove, Sight, decide
 from harepick.store.machine import Envelope
@@ -170,40 +169,23 @@
 
 def schedule(seed: int, kind: str = "", seconds: float = 20.0) -> tuple[dict[str, int], str]:
     """What came of one world, and what it found."""
-    try:
-        made = heals(seed, seconds, _broken(kind) if kind else HealingWorld)
-    except AssertionError as error:
-        return {}, f"{type(error).__name__}: {error}"
-    return made.stats | {"steps": made.steps}, ""
+    return _one((seed, kind, seconds))[1:]
 
 
-def _one(job: tuple[int, str, float]) -> tuple[int, dict[str, int], str]:
-    return job[0], *schedule(*job)
+def _one(job: tuple[int, str, float]) -> Row:
+    seed, kind, seconds = job
+    return row(seed, lambda: heals(seed, seconds, _broken(kind) if kind else HealingWorld))
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
-    parser.add_argument("--seeds", type=int, default=100)
-    parser.add_argument("--first-seed", "--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=20.0, help="of each world's own time")
+    parser = arguments(__doc__)
     parser.add_argument("--break", dest="kind", choices=BREAKS, default="", help="a rule, on purpose")
-    parser.add_argument("--processes", type=int, default=None)
     wanted = parser.parse_args()
     began = time.monotonic()
     seeds = range(wanted.first_seed, wanted.first_seed + wanted.seeds)
     with ProcessPoolExecutor(wanted.processes) as pool:
-        rows = list(pool.map(_one, [(seed, wanted.kind, wanted.seconds) for seed in seeds], chunksize=4))
-    bad = [(seed, why) for seed, _, why in rows if why]
-    for seed, why in bad[:20]:
-        print(f"seed {seed}: {why}", file=sys.stderr)
-    totals: dict[str, int] = {}
-    for _, stats, _ in rows:
-        for key, value in stats.items():
-            totals[key] = (
-                min(totals.get(key, value), value) if key == "fewest" else totals.get(key, 0) + value
-            )
+        jobs = [(seed, wanted.kind, wanted.seconds) for seed in seeds]
+        totals, bad = summed(list(pool.map(_one, jobs, chunksize=4)), "fewest")
     enough = totals.get("dropped", 0) > wanted.seeds and totals.get("taken_back", 0) > wanted.seeds
     line = {
         "benchmark": "heal_model",
--- a/benchmarks/store_model.py
+++ b/benchmarks/store_model.py
@@ -14,13 +14,12 @@
 import heapq
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from random import Random
 
-import orjson
-
+from benchmarks.daemons import print_line
 from benchmarks.faultyfiles import Crash, FaultyFiles
 from harepick.store.disk.files import StorageError
 from harepick.store.disk.storage import Identity, Storage, create
@@ -521,49 +520,60 @@
     return made
 
 
-def _one(job: tuple[int, int, float]) -> tuple[int, int, int, dict[str, int], str]:
-    seed, replicas, seconds = job
+Row = tuple[int, dict[str, int], str]  # seed, what came of its world, and what it found
+
+
+def row(seed: int, made: Callable[[], World]) -> Row:
+    """One world's row; empty figures for one that broke a rule."""
     try:
-        world = play(seed, replicas, seconds)
+        world = made()
     except AssertionError as error:
-        return seed, replicas, 0, {}, f"{type(error).__name__}: {error}"
-    return seed, replicas, world.steps, world.stats, ""
+        return seed, {}, f"{type(error).__name__}: {error}"
+    return seed, world.stats | {"steps": world.steps}, ""
 
 
-def main() -> int:
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
+def summed(rows: Sequence[Row], least: str = "") -> tuple[dict[str, int], list[str]]:
+    """Figures over all worlds (of `least` the lowest), and what was found, which is printed."""
+    for seed, _, why in [row for row in rows if row[2]][:20]:
+        print(f"seed {seed}: {why}", file=sys.stderr)
+    totals: dict[str, int] = {}
+    for _, stats, _ in rows:
+        for key, value in stats.items():
+            totals[key] = min(totals.get(key, value), value) if key == least else totals.get(key, 0) + value
+    return totals, [why for _, _, why in rows if why]
+
+
+def arguments(about: str | None) -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(description=about, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--seeds", type=int, default=100)
     parser.add_argument("--first-seed", "--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0, help="of each world's own time")
-    parser.add_argument("--jobs", type=int, default=None)
-    wanted = parser.parse_args()
+    parser.add_argument("--processes", "--jobs", type=int, default=None)
+    return parser
+
+
+def _one(job: tuple[int, int, float]) -> Row:
+    return row(job[0], lambda: play(*job))
+
+
+def main() -> int:
+    wanted = arguments(__doc__).parse_args()
     began = time.monotonic()
     seeds = range(wanted.first_seed, wanted.first_seed + wanted.seeds)
     jobs = [(seed, (3, 5)[seed % 2], wanted.seconds) for seed in seeds]
-    with ProcessPoolExecutor(wanted.jobs) as pool:
-        rows = list(pool.map(_one, jobs))
-    bad = [(seed, replicas, why) for seed, replicas, _, _, why in rows if why]
-    for seed, replicas, why in bad[:20]:
-        print(f"seed {seed}, {replicas} replicas: {why}", file=sys.stderr)
-    totals: dict[str, int] = {}
-    for *_, stats, _ in rows:
-        for key, value in stats.items():
-            totals[key] = totals.get(key, 0) + value
+    with ProcessPoolExecutor(wanted.processes) as pool:
+        totals, bad = summed(list(pool.map(_one, jobs)))
     line = {
         "benchmark": "store_model",
         "seed": wanted.first_seed,
         "ok": not bad,
         "seeds": wanted.seeds,
-        "steps": sum(steps for _, _, steps, _, _ in rows),
         "violations": len(bad),
-        "stale_acts": sum("stale act" in why for *_, why in bad),
+        "stale_acts": sum("stale act" in why for why in bad),
         **totals,
         "seconds": round(time.monotonic() - began, 1),
     }
-    print(orjson.dumps(line).decode())
-    return 0 if not bad else 1
+    return print_line(line)
 
 
 if __name__ == "__main__":
