--- a/harepick/gapping/since.py
+++ b/harepick/gapping/since.py
@@ -12,6 +12,11 @@
 from typing import Any
 
 
+def may_need(text: str) -> bool:
+    """Whether that configuration has anything to date, at a glance: most have not, and are not parsed."""
+    return "for_s" in text
+
+
 def _rows(text: str) -> dict[str, dict[str, Any]]:
     rows = tomllib.loads(text).get("gap", [])
     return {row["id"]: row for row in rows if isinstance(row, dict) and isinstance(row.get("id"), str)}
--- a/harepick/store/operators.py
+++ b/harepick/store/operators.py
@@ -16,7 +16,7 @@
 
 from harepick.counters import Counters
 from harepick.fleet.membership.roster import PRESENT, Mark
-from harepick.gapping.since import dated
+from harepick.gapping.since import dated, may_need
 from harepick.settings import SettingsError, read_shared
 from harepick.store import wire
 from harepick.store.machine import Conflict, Done, Envelope, Put, Refused, Revision, RollBack, Shared
@@ -196,8 +196,9 @@
     async def set(self, arguments: dict[str, Any], wait: float) -> dict[str, Any]:
         text = argument_text(arguments, "text")
         read_shared(text)  # the same reader as the file's, before anything is proposed
-        latest = self._replica.node.machine.latest
-        text = await run_sync(dated, text, latest.text if latest else "", time.time())
+        if may_need(text):
+            latest = self._replica.node.machine.latest
+            text = await run_sync(dated, text, latest.text if latest else "", time.time())
         body = Put(
             text,
             _optional(arguments, "expect"),
