--- a/tests/test_store_replica.py
+++ b/tests/test_store_replica.py
@@ -10,11 +10,15 @@
 import pytest
 
 from harepick.counters import Counters
+from harepick.fleet.membership.roster import DROPPED, LEAVING, Mark
 from harepick.fleet.ports import free_port
 from harepick.log import Log
 from harepick.store.machine import Envelope, Put
+from harepick.store.operators import Operators
+from harepick.store.raft.core import BadChangeError
 from harepick.store.replica import Replica, StoreUnavailableError
 from harepick.store.settings import read_store
+from harepick.store.wire import Hello
 
 
 def replica(folder: Path) -> Replica:
@@ -95,3 +99,39 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(work)
+
+
+def test_only_who_comes_back_with_the_folder_that_was_pinned_is_heard_to_knock(tmp_path: Path) -> None:
+    """A wiped folder under an old name has forgotten its votes: it is not taken back."""
+
+    async def work() -> None:
+        made = replica(tmp_path)
+        line, me = made.transport, made.identity
+        line._pins["c"] = "its folder"
+        line._may_speak = lambda name: False  # as after it was dropped
+        for name, folder in (("c", "another folder"), ("d", "its folder")):
+            told = await line._unwelcome(Hello("peer", me.cluster, name, folder))
+            assert "no member" in told and not made.knocks
+        assert "no member" in await line._unwelcome(Hello("peer", me.cluster, "c", "its folder"))
+        assert made.knocks.keys() == {"c"}
+
+    anyio.run(work)
+
+
+def test_one_that_the_fleet_dropped_is_taken_off_for_good_by_remove(tmp_path: Path) -> None:
+    async def work() -> None:
+        made = replica(tmp_path)
+        desk = Operators(made, Counters())
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(made.run)
+            await until(made.may_act)
+            for state, version in ((LEAVING, 0), (DROPPED, 1)):
+                await made.change(Envelope("", 0, Mark("c", state, version, address="127.0.0.1:1")), 5.0)
+            assert made.status()["absent"][0]["replica"] == "c"
+            assert (await desk.remove({"replica": "c"}, 5.0))["index"] > 0
+            assert not made.status()["absent"]
+            with pytest.raises(BadChangeError, match="is no member"):
+                await desk.remove({"replica": "c"}, 5.0)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(work)
