Send nothing for callers that have left, and lose nothing in hand as a connection ends

`_write` cleared the outbox before `send`, whose first act is to look for a cancel. Room was made by closing connections whose answer was in hand. - A CANCEL that found its line's outbox full counted as done while the server had the set-up. Ruled out: the wait after a reset, with cancels or without (the module drops the call).

Callers carry `gone`, set by the front where the end or the CANCEL is read; the engine's last look asks it, and no set-up is booked for one that has gone. Before a set-up decided over 20 ms ago leaves, the loop turns three times, so that what waits in sockets is heard. The outbox keeps what is in hand until it is written. Words that a cut wait would lose are told at once; readers wait for room before they read on. The listener accepts without a wait between accept and owner.

--- a/benchmarks/path_cost.py
+++ b/benchmarks/path_cost.py
@@ -46,6 +46,7 @@
         pass
 
 class Caller:
+    gone = False
     def stands(self, description): pass
     def refused(self, stay_away): raise SystemExit("refused")
     def failed(self): raise SystemExit("failed")
--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -209,6 +209,9 @@
                 return [event]
 
     def _offered(self, offer: Offer, now: float) -> list[i.Event]:
+        if offer.caller.gone:  # it left before it was heard: nothing begins for it
+            self._counters.add("calls.given_up")
+            return []
         if offer.call in self._ledger:  # whoever sent it, the call that is open keeps its id
             self._counters.add("calls.clashes")
             offer.caller.clashes()
@@ -443,6 +446,9 @@
         """The last look before a set-up's bytes leave: the rules hold at that moment, not at the decision."""
         if attempt.ended or attempt.revoked or now >= attempt.deadline or attempt.server not in self._ready:
             return False
+        entry = self._ledger.get(attempt.call)
+        if entry is None or entry.answered or entry.offer.caller.gone:  # its word may still be in the inbox
+            return False
         if self._gate is None:
             return True
         if attempt.sent is None:
--- a/harepick/core/inbox.py
+++ b/harepick/core/inbox.py
@@ -20,12 +20,17 @@
         self._taken = anyio.Event()
 
     async def put(self, word: Word) -> None:
+        await self.room()
+        self.tell(word)
+
+    async def room(self) -> None:
+        """Waits while the inbox is full: whoever tells words at once waits here before it reads on."""
         while len(self._words) >= self._room:
             await self._taken.wait()
-        self.tell(word)
 
     def tell(self, word: Word) -> None:
-        """At once, also over the bound: for the few words that a cancelled wait must not lose."""
+        """At once, also over the bound: for words that a cancelled wait must not lose. There is at most one
+        such word of a kind for each call or connection that is open."""
         self._words.append(word)
         self._some.set()
 
--- a/harepick/core/words.py
+++ b/harepick/core/words.py
@@ -16,6 +16,8 @@
 class Caller(Protocol):
     """Where a call came from; takes its answers. None of these may block."""
 
+    gone: bool  # set by the front in the moment it reads that the caller has left or given the set-up up
+
     def stands(self, description: bytes) -> None: ...
 
     def refused(self, stay_away: float) -> None: ...
--- a/harepick/enumdns/front.py
+++ b/harepick/enumdns/front.py
@@ -52,13 +52,14 @@
 class Lookup:
     """One look-up under way: the caller of a call, to the core."""
 
-    __slots__ = ("_client", "_front", "_key", "call", "inbox", "lane", "query")
+    __slots__ = ("_client", "_front", "_key", "call", "gone", "inbox", "lane", "query")
 
     def __init__(
         self, front: Front, inbox: Inbox, call: str, key: Key, query: codec.Query, client: Client, lane: str
     ) -> None:
         self._front, self.inbox, self.call, self._key = front, inbox, call, key
         self.query, self._client, self.lane = query, client, lane
+        self.gone = False
 
     def stands(self, description: bytes) -> None:
         room = self._client.room(self.query)
@@ -163,6 +164,7 @@
                 with anyio.CancelScope(shield=True):
                     for key, lookup in [(k, c) for k, c in self._open.items() if k[0] is outbox]:
                         self._open.pop(key, None)
+                        lookup.gone = True
                         await lookup.inbox.put(CallerGone(lookup.call, lookup))
 
     async def _read_tcp(self, stream: SocketStream, outbox: Outbox[bytes]) -> None:
--- a/harepick/net/callers.py
+++ b/harepick/net/callers.py
@@ -42,6 +42,7 @@
     connection: Connection
     call: bytes
     lane: str  # its class, for the figures
+    gone: bool = False
 
     def stands(self, description: bytes) -> None:
         item = Item(self.call, binary.answer(self.call, description), "answer")
@@ -72,11 +73,10 @@
     scope.cancel()
 
 
-def _close(listener: SocketListener) -> list[socket.socket]:
+def _close(raw: socket.socket) -> list[socket.socket]:
     """Closes a listening socket with nothing between the last look at its queue and the close: a connection
     that the kernel has taken in on its behalf would be reset there, unheard. With SO_REUSEPORT, what comes
     after the close goes to the others listening on the address."""
-    raw: socket.socket = listener.extra(SocketAttribute.raw_socket)
     raw.setblocking(False)
     queued = []
     while True:
@@ -111,32 +111,52 @@
 
     @property
     def unwritten(self) -> int:
-        return sum(len(connection.outbox) for connection in self._room.connections)
+        return sum(len(c.outbox) + c.outbox.in_hand for c in self._room.connections)
+
+    @property
+    def hearing(self) -> bool:
+        """A message has begun on some connection that is not yet whole."""
+        return any(connection.half_since is not None for connection in self._room.connections)
 
     async def listen(self, listener: SocketListener, closing: anyio.Event) -> None:
         """Accepts until `closing`; neither a connection that is gone again nor a lack of descriptors ends
-        that. Then closes the listener, and serves on what it has taken."""
+        that. Then closes the listener, and serves on what it has taken.
+
+        Nothing waits between the kernel's accept and the task that owns the connection: a wait that is
+        cancelled there, as `closing` would, drops a connection whose client was told that it is open."""
+        raw: socket.socket = listener.extra(SocketAttribute.raw_socket)
+        raw.setblocking(False)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._room.watch)
             with anyio.CancelScope() as accepting:
                 tasks.start_soon(_cancel_on, closing, accepting)
                 while True:
+                    await anyio.wait_readable(raw)
                     try:
-                        stream = await listener.accept()
+                        for _ in range(AT_ONCE):
+                            sock, _peer = raw.accept()
+                            tasks.start_soon(self._serve_accepted, sock)
+                    except (BlockingIOError, ConnectionAbortedError):
+                        continue
                     except OSError as error:
                         self._counters.add("callers.not_accepted")
                         self._log.event("not_accepted", error=error.strerror)
                         self._room.make()
                         await anyio.sleep(0.02)
-                        continue
-                    tasks.start_soon(self.serve, stream)
-            for sock in _close(listener):
-                tasks.start_soon(self._serve_queued, sock)
+            for sock in _close(raw):
+                tasks.start_soon(self._serve_accepted, sock)
             self._log.event("not_listening", taken=self._counters["callers.connections"])
 
-    async def _serve_queued(self, sock: socket.socket) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await self.serve(await SocketStream.from_socket(sock))
+    async def _serve_accepted(self, sock: socket.socket) -> None:
+        """Also a socket whose client has reset it by now."""
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream = await SocketStream.from_socket(sock)
+        except (OSError, ValueError):  # anyio says ValueError of a socket that is connected no more
+            self._counters.add("callers.not_accepted")
+            sock.close()
+            return
+        await self.serve(stream)
 
     async def serve(self, stream: SocketStream) -> None:
         """One connection, from its acceptance to its end; no fault of it goes further."""
@@ -149,7 +169,10 @@
             with connection.scope:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._write, connection)
-                    await self._read(connection)
+                    try:
+                        await self._read(connection)
+                    finally:
+                        connection.abandon()
                     tasks.cancel_scope.cancel()
         except Exception as error:
             self._counters.add("callers.faults")
@@ -158,17 +181,18 @@
             self._room.leave(connection)
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
-                await self._closed(connection)
+            self._closed(connection)
 
-    async def _closed(self, connection: Connection) -> None:
+    def _closed(self, connection: Connection) -> None:
         """What was open on a connection is given up with it; what is over is told on another one."""
         for item in connection.outbox.clear():
             if item.kind == "answer" and item.caller:
                 connection.open[item.call] = item.caller
             elif item.kind == "release":
                 self.release(connection, item)
+        connection.abandon()
         for call, caller in connection.open.items():
-            await self._inbox.put(CallerGone(call.hex(), caller))
+            self._inbox.tell(CallerGone(call.hex(), caller))
 
     async def _read(self, connection: Connection) -> None:
         decoder = binary.Decoder()
@@ -211,9 +235,13 @@
             case binary.RELEASE:
                 self._counters.add("callers.releases")
                 self._fits(connection)
-                caller = connection.open.pop(message.call, None)
+                if caller := connection.open.pop(message.call, None):
+                    caller.gone = True
                 self._room.over(message.call)
-                await self._inbox.put(CallerGone(message.call.hex(), caller))
+                if caller:  # a wait that the end of the connection cuts would lose it
+                    self._inbox.tell(CallerGone(message.call.hex(), caller))
+                else:
+                    await self._inbox.put(CallerGone(message.call.hex(), None))
                 heard = binary.Message(binary.HEARD, message.call).encode()
                 self.write(connection, Item(message.call, heard, "free"))
             case binary.TEST:
@@ -295,15 +323,14 @@
     async def _write(self, connection: Connection) -> None:
         while True:
             await connection.outbox.wait()
-            items = connection.outbox.clear()
+            items = connection.outbox.take()
             try:
                 with anyio.fail_after(SEND_TIMEOUT):
                     await connection.stream.send(b"".join(item.data for item in items))
             except (TimeoutError, anyio.BrokenResourceError, anyio.ClosedResourceError):
-                for item in items:  # not known to be whole at the caller: as if unsent
-                    connection.outbox.put(item)
-                connection.scope.cancel()
+                connection.scope.cancel()  # what is in hand is not known to be whole at the caller
                 return
+            connection.outbox.written()
             connection.at = time.time()
             for item in items:
                 self._counters.add(f"callers.sent_{item.kind}")
--- a/harepick/net/line.py
+++ b/harepick/net/line.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import SocketStream
 
 from harepick import interface as i
@@ -38,6 +39,8 @@
 CROSSINGS = 4_096  # set-ups given up whose answer may still come
 STALL = 0.25  # a message begun and not finished in this time will not be
 QUIET = 0.25  # with a set-up open, a line that says nothing for so long may have gone dead
+LAG = 0.02  # between a decision and its bytes; a client that has left is owed no attempt 0.1 s later
+TURNS = 3  # of the loop: the sockets are read, their readers run, and what they say is marked
 OVERTAKEN = 0.1  # it has, if the server has meanwhile answered what it was sent so much later
 
 
@@ -78,7 +81,7 @@
     def spare(self) -> bool:
         """Nothing is lost with it. A server says the end of a call on the line of its set-up: what is on its
         way when we close that line never comes."""
-        return self.up and not self.load and not self.calls
+        return self.up and not self.load and not self.outbox.in_hand and not self.calls
 
     def quiet(self, now: float) -> bool:
         """What is open on it has gone without a word for some time: the server is slow, or the line dead."""
@@ -146,7 +149,8 @@
                 with anyio.move_on_after(limit) as scope:
                     data = await stream.receive()
                 if scope.cancelled_caught:
-                    if begun is None and not self.load and not self._link.standing:
+                    busy = self.load or self.outbox.in_hand or self._link.standing
+                    if begun is None and not busy:
                         return
                     if begun is not None and late:  # looked at twice: not our own delay
                         raise sip.SipError("a message that stops short")
@@ -158,6 +162,7 @@
                 for message in decoder.feed(data):
                     count += 1
                     await self._take(message)
+                await self._link.port.inbox.room()
                 if not decoder.pending:
                     begun = None
                 elif count or begun is None:
@@ -177,18 +182,20 @@
             self._link.heard = self.heard
         if message.status:
             if message.method == "INVITE" and message.status >= 200:
-                await self._answer(message)
+                self._answer(message)
             return
         match message.method:
             case "BYE":
                 self._count("servers.releases")
                 self._say(sip.response(message, 200, b"OK"))
                 self._link.over(message.call)
-                await self._word(CallOver(message.call, self._link.server, sip.cause(message) == CUT))
+                self._tell(CallOver(message.call, self._link.server, sip.cause(message) == CUT))
             case "NOTIFY":
                 self._count("servers.notifies")
                 if report := sip.load(message):
-                    await self._word(Told(i.Probed(self._link.server, i.Outcome.OK, 0.0, report)))
+                    await self._link.port.inbox.put(
+                        Told(i.Probed(self._link.server, i.Outcome.OK, 0.0, report))
+                    )
             case "OPTIONS":
                 self._say(sip.response(message, 200, b"OK"))
             case "ACK":
@@ -197,7 +204,7 @@
                 self._count("servers.unknown")
                 self._say(sip.response(message, 501, b"Not Implemented"))
 
-    async def _answer(self, message: sip.Message) -> None:
+    def _answer(self, message: sip.Message) -> None:
         """A final answer to an INVITE: acknowledged if there was one, also if it comes too late.
 
         Matched by Call-ID and method alone: servers answer `CSeq: 1 INVITE` whatever was asked, so that the
@@ -229,12 +236,12 @@
             self._count("servers.answers")
             self._link.stands(call, number, self)
             tried = -1 if attempt is None else attempt.number
-            await self._word(Answered(call, tried, self._link.server, message.body))
+            self._tell(Answered(call, tried, self._link.server, message.body))
         elif attempt is not None:
             self._count(f"servers.status_{message.status}")
             outcome = OUTCOMES.get(message.status, i.Outcome.ERROR)
             cause = NOTES.get(message.text(b"warning-word"), 0)
-            await self._word(AttemptOver(attempt, outcome, cause))
+            self._tell(AttemptOver(attempt, outcome, cause))
         else:
             self._count("servers.late_answers")
 
@@ -245,30 +252,35 @@
             self.close("too_slow")
 
     async def _write(self, stream: SocketStream, scope: anyio.CancelScope) -> None:
+        """What is in hand when the line ends, also in the middle of a write, is the link's to pass on."""
         while True:
             await self.outbox.wait()
-            items = self.outbox.clear()
-            parts = [(item, data) for item in items if (data := await self._bytes(item)) is not None]
-            failed = False
+            await self._hear_first()
+            items = self.outbox.take()
+            # No wait from here on until the kernel has the bytes: the last look must be the last.
+            parts = [(item, data) for item in items if (data := self._bytes(item)) is not None]
             try:
                 with anyio.fail_after(SEND_TIMEOUT):
                     await stream.send(b"".join(data for _, data in parts))
             except (TimeoutError, anyio.BrokenResourceError, anyio.ClosedResourceError):
-                failed = True
-            else:  # the figure `upstream_requests_total`: set-ups whose last byte the kernel has taken
-                self._count("servers.invites_written", sum(isinstance(item, Attempt) for item, _ in parts))
-            for item, _ in parts:
-                if isinstance(
-                    item, Cancel
-                ):  # if its bytes did not go, the end of the connection does as well
-                    await self._word(AttemptOver(item.attempt, i.Outcome.CANCELLED))
-                elif isinstance(item, Bye) and failed:
-                    self.outbox.put(item)  # for the link to pass on
-            if failed:
                 scope.cancel()
                 return
+            self.outbox.written()
+            # The figure `upstream_requests_total`: set-ups whose last byte the kernel has taken.
+            self._count("servers.invites_written", sum(isinstance(item, Attempt) for item, _ in parts))
+            for item, _ in parts:
+                if isinstance(item, Cancel):
+                    self._tell(AttemptOver(item.attempt, i.Outcome.CANCELLED))
+
+    async def _hear_first(self) -> None:
+        """After a long turn of the loop, what callers and the bus have said meanwhile is heard before a
+        set-up leaves: the end of its caller, or of its server, may lie in a socket that nobody has read."""
+        now = time.time()
+        if self.outbox.any(lambda item: isinstance(item, Attempt) and now - item.placed > LAG):
+            for _ in range(TURNS):
+                await anyio.lowlevel.checkpoint()
 
-    async def _bytes(self, item: Item) -> bytes | None:
+    def _bytes(self, item: Item) -> bytes | None:
         """What goes out for an order at this moment, if it still goes."""
         if isinstance(item, bytes):
             return item
@@ -283,7 +295,7 @@
         if isinstance(item, Cancel):
             attempt = item.attempt
             if self.open.get(attempt.call) is not attempt:  # answered meanwhile
-                await self._word(AttemptOver(attempt, i.Outcome.CANCELLED))
+                self._tell(AttemptOver(attempt, i.Outcome.CANCELLED))
                 return None
             del self.open[attempt.call]
             number = self._crossing[attempt.call] = request_of(attempt).number
@@ -293,7 +305,7 @@
             return sip.request("CANCEL", number, attempt.call, CSEQ)
         if not item.may_leave(now):
             if not item.ended:
-                await self._word(AttemptOver(item, i.Outcome.MOOT))
+                self._tell(AttemptOver(item, i.Outcome.MOOT))
             return None
         request = request_of(item)
         item.sent = now
@@ -302,8 +314,10 @@
         left = max(1, round((item.deadline - now) * 1000))
         return sip.invite(request.number, item.call, CSEQ, request.class_name, left, request.description)
 
-    async def _word(self, word: Word) -> None:
-        await self._link.port.inbox.put(word)
+    def _tell(self, word: Word) -> None:
+        """At once: a wait for room in the inbox could be cut by the end of the line, and the word lost. The
+        reader waits for room before it takes more."""
+        self._link.port.inbox.tell(word)
 
 
 def request_of(attempt: Attempt) -> Request:
--- a/harepick/net/link.py
+++ b/harepick/net/link.py
@@ -83,7 +83,7 @@
 
     @property
     def backlog(self) -> int:
-        return sum(len(line.outbox) for line in self._lines if line.up)
+        return sum(len(line.outbox) + line.outbox.in_hand for line in self._lines if line.up)
 
     # Orders
 
@@ -95,7 +95,9 @@
         """False: the attempt is open on no line."""
         for line in self._lines:
             if line.open.get(attempt.call) is attempt:
-                return line.outbox.put(Cancel(attempt))
+                if not line.outbox.put(Cancel(attempt)):
+                    line.close("too_slow")  # it is given up with its line: while that lives, it is out
+                return True
         return False
 
     def release(self, call: str) -> bool:
@@ -155,7 +157,7 @@
                 tell(AttemptOver(item.attempt, i.Outcome.CANCELLED))
             elif isinstance(item, Bye):
                 self._keep(item)
-            elif isinstance(item, Attempt):
+            elif isinstance(item, Attempt) and item.sent is None and not item.ended:
                 others = [other for other in self._lines if other.up]
                 if others and not self.retired:
                     min(others, key=lambda other: other.load).outbox.put(item)
--- a/harepick/net/outbox.py
+++ b/harepick/net/outbox.py
@@ -13,8 +13,12 @@
 
 
 class Outbox(Generic[Item]):
+    """Items are taken in hand by the one that writes them and stay in here until they are `written`: a
+    connection that ends in the middle of a write still owes what was in hand."""
+
     def __init__(self, room: int = ROOM) -> None:
         self._items: deque[Item] = deque()
+        self._in_hand: list[Item] = []
         self._room = room
         self._some = anyio.Event()
 
@@ -32,13 +36,30 @@
             self._some = anyio.Event()
             await self._some.wait()
 
+    def take(self) -> list[Item]:
+        """Everything that waits, in hand until `written`."""
+        self._in_hand = list(self._items)
+        self._items.clear()
+        return self._in_hand
+
+    def written(self) -> None:
+        """What was in hand has gone."""
+        self._in_hand = []
+
+    @property
+    def in_hand(self) -> int:
+        return len(self._in_hand)
+
     def clear(self) -> list[Item]:
-        items = list(self._items)
+        """All that is not known to have gone, in order; nothing is left."""
+        items = [*self._in_hand, *self._items]
         self._items.clear()
+        self._in_hand = []
         return items
 
-    def drop(self, what: Callable[[Item], bool]) -> None:
-        self._items = deque(item for item in self._items if not what(item))
+    def any(self, what: Callable[[Item], bool]) -> bool:
+        """Whether such an item waits."""
+        return any(what(item) for item in self._items)
 
     def __len__(self) -> int:
         return len(self._items)
--- a/harepick/net/room.py
+++ b/harepick/net/room.py
@@ -47,6 +47,16 @@
     half_since: float | None = None  # when a message began that is not yet whole
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
+    @property
+    def settled(self) -> bool:
+        """Nothing is owed on it: no set-up waits for its answer, and no message for its way out."""
+        return not self.open and not len(self.outbox) and not self.outbox.in_hand
+
+    def abandon(self) -> None:
+        """It has ended: the core's last look must know now, not once it has heard of it."""
+        for caller in self.open.values():
+            caller.gone = True
+
 
 class Room:
     def __init__(self, most: int, counters: Counters) -> None:
@@ -65,7 +75,7 @@
 
     def make(self) -> bool:
         """Closes the connection with the least to lose; False if none may be closed."""
-        loose = [c for c in self.connections if not c.open and not len(c.outbox)]
+        loose = [c for c in self.connections if c.settled]
         if not loose:
             return False
         self._close(min(loose, key=lambda c: (c.fit, bool(c.standing), c.at)), "made_room")
@@ -97,7 +107,7 @@
         while True:
             await anyio.sleep(LOOK)
             now = time.time()
-            for connection in [c for c in self.connections if not c.open and not len(c.outbox)]:
+            for connection in [c for c in self.connections if c.settled]:
                 half = connection.half_since
                 if half is not None:  # a message begun has its own time, wherever it began
                     if now - half > HALF:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -200,6 +200,14 @@
         self.process.send_signal(signal.SIGUSR1)
         return until(lambda: self.events("counters")[before:], why="the counters")[0]
 
+    def counted(self, name: str, least: int = 1, within: float = 10.0) -> int:
+        """A counter once it has come so far; asked for less often than the log leaves lines out."""
+        end = time.monotonic() + within
+        while (value := self.counters().get(name, 0)) < least:
+            assert time.monotonic() < end, f"waited {within} s for {name} to be {least}; it is {value}"
+            time.sleep(0.1)
+        return value
+
     def ready(self, port: int) -> bool:
         with suppress(OSError):
             return ops_call(port, "/api/ready")[0] == 200
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,371 @@
+"""Where two events cross on sockets: each crossing is forced, never hoped for (docs/design/crossings.md).
+
+Some start the real program; where the moment is one turn of the event loop, the part that owns the sockets
+runs in the test's own loop, on real sockets, and the test does both events in the same turn.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import anyio
+import anyio.abc
+import anyio.lowlevel
+import pytest
+
+from harepick import interface as i
+from harepick.core.inbox import Inbox
+from harepick.core.words import Attempt, AttemptOver, CallerGone, Offer, Word
+from harepick.counters import Counters
+from harepick.log import Log
+from harepick.net import binary, sip
+from harepick.net.callers import Callers
+from harepick.net.link import Link
+from harepick.net.room import Connection, Item
+from harepick.net.setups import Request
+from harepick.settings import Address
+from tests import peers
+
+Leave = Callable[[peers.Caller, bytes], None]
+LEAVES: dict[str, Leave] = {
+    "close": lambda caller, call: caller.close(),
+    "reset": lambda caller, call: caller.close(reset=True),
+    "cancel": lambda caller, call: caller.ask(binary.RELEASE, call, 16),
+    "half-close": lambda caller, call: caller.sock.shutdown(socket.SHUT_WR),
+}
+
+
+# A client that has left
+
+
+@contextmanager
+def unreachable(server: peers.Setup) -> Iterator[Callable[[], None]]:
+    """No connection to it comes up until the returned call: its queue is full, and drops what comes."""
+    server.listener.listen(0)
+    where = server.listener.getsockname()
+    fillers = []
+    for _ in range(4):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(where)
+        fillers.append(filler)
+
+    def reach() -> None:
+        server.listener.listen(128)
+        for filler in fillers:
+            filler.close()
+
+    try:
+        yield reach
+    finally:
+        for filler in fillers:
+            filler.close()
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+@pytest.mark.parametrize("how", LEAVES)
+def test_nothing_is_sent_for_a_client_that_left_while_its_call_waited_for_a_connection(
+    how: str, cancelling: bool
+) -> None:
+    """Where settings allow no cancel, the module revokes nothing: the last look has to know the client."""
+    place = peers.Platform()
+    place.config["settings"]["Bounds"] |= {"Cancelling": cancelling, "DialTimeout": 6.0}
+    with place.run() as running, unreachable(place.setups[0]) as reach:
+        other = peers.Caller(place.port)
+        leaving = peers.Caller(place.port)
+        left = leaving.call(patience_ms=4000)
+        running.counted("attempts.placed")
+        LEAVES[how](leaving, left)
+        running.counted("calls.given_up")
+        reach()
+        stays = other.call(patience_ms=4000)
+        found = peers.until(lambda: first_invite(place.setups[0]), why="the other call")
+        assert found[1].call == stays.hex()
+        peers.reply(found[0], found[1], 200, b"answer")
+        assert other.told(stays).type == binary.ANSWER
+        running.counted("servers.connections", 2)  # the one that the call had waited for has come up too
+        assert place.setups[0].invited(within=0.3) is None
+        assert running.counters()["servers.sent_invite"] == 1
+
+
+def first_invite(server: peers.Setup) -> tuple[peers.Peer, sip.Message] | None:
+    """The first set-up on any line; the fillers of its queue are lines that end at once."""
+    return server.invited(within=0.05)
+
+
+@pytest.mark.parametrize("how", LEAVES)
+def test_no_further_attempt_for_a_client_that_left_in_the_wait_after_a_reset(how: str) -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        leaving = peers.Caller(place.port)
+        left = leaving.call()
+        line = place.setups[0].accept()
+        assert peers.invite(line).call == left.hex()
+        line.close(reset=True)
+        running.counted("attempts.reset")
+        LEAVES[how](leaving, left)
+        assert place.setups[0].invited(within=0.8) is None
+        counters = running.counters()
+        assert counters["servers.sent_invite"] == 1 and counters["calls.given_up"] == 1
+
+
+def test_a_set_up_and_its_clients_end_in_one_go_leave_nothing_behind() -> None:
+    """A thousand of them: whichever is heard first, what was begun is given up, and nothing begins later."""
+    place = peers.Platform()
+    with place.run() as running:
+        for n in range(1000):
+            leaving = peers.Caller(place.port)
+            leaving.call(ident=n.to_bytes(7, "big") + b"\1", number=b"%d" % n)
+            leaving.close(reset=n % 2 == 1)
+        other = peers.Caller(place.port)
+        stays = other.call(ident=b"\7" * 8)
+        while True:
+            found = peers.until(lambda: first_invite(place.setups[0]), why="a call that stays")
+            if found[1].call == stays.hex():
+                break
+        peers.reply(found[0], found[1], 200, b"answer")
+        assert other.told(stays).type == binary.ANSWER
+        peers.until(lambda: peers.figures(place.ops)["edge_gw_pending"] == 1, why="all others given up")
+        sent = running.counters()["servers.sent_invite"]
+        peers.until(lambda: place.setups[0].invited(within=0.5) is None, why="the rest to be read")
+        assert running.counters()["servers.sent_invite"] == sent
+
+
+# In the same turn of the loop
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class Hub:
+    """The callers' front on a real listener, in this loop, with an inbox that nobody drains."""
+
+    def __init__(self) -> None:
+        self.inbox, self.counters = Inbox(), Counters()
+        classes = (i.CallClass("a", 1.0, 4.0, 1.0),)
+        self.callers = Callers(classes, self.inbox, self.counters, Log(fd=1), most=64)
+        self.closing = anyio.Event()
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[int]) -> None:
+        async with await anyio.create_tcp_listener(local_host="127.0.0.1") as multi:
+            (listener,) = multi.listeners
+            assert isinstance(listener, anyio.abc.SocketListener)
+            task_status.started(listener.extra(anyio.abc.SocketAttribute.local_port))
+            await self.callers.listen(listener, self.closing)
+
+    async def words(self, kind: type[Word]) -> list[Any]:
+        return [word for word in await self.inbox.drain(0) if isinstance(word, kind)]
+
+    def connections(self) -> set[Connection]:
+        return self.callers._room.connections
+
+
+async def turns(count: int) -> None:
+    for _ in range(count):
+        await anyio.lowlevel.checkpoint()
+
+
+async def met(what: Callable[[], object]) -> None:
+    with anyio.fail_after(5):
+        while not what():
+            await anyio.sleep(0.001)
+
+
+async def read(sock: socket.socket, decoder: binary.Decoder, within: float = 2.0) -> list[binary.Message]:
+    """The next messages; none if the connection ends or stays silent."""
+    sock.setblocking(False)
+    with anyio.move_on_after(within):
+        while True:
+            await anyio.wait_readable(sock)
+            try:
+                data = sock.recv(4096)
+            except OSError:
+                return []
+            if not data:
+                return []
+            if messages := list(decoder.feed(data)):
+                return messages
+    return []
+
+
+@pytest.mark.parametrize("count", range(8))
+async def test_a_connection_taken_in_the_turn_of_the_close_is_served(count: int) -> None:
+    """A wait that was cancelled between the kernel's accept and its owner dropped the connection."""
+    hub = Hub()
+    test = binary.Message(binary.TEST, b"\1" * 8, {binary.CAUSE: b"\0"}).encode()
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(hub.run)
+        await turns(5)  # the listener waits
+        with socket.create_connection(("127.0.0.1", port)) as client:
+            client.sendall(test)
+            await turns(count)
+            hub.closing.set()
+            assert [m.type for m in await read(client, binary.Decoder())] == [binary.TESTED]
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_connection_reset_in_the_queue_at_the_close_harms_nobody() -> None:
+    hub = Hub()
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(hub.run)
+        await turns(5)
+        stays = socket.create_connection(("127.0.0.1", port))
+        resets = socket.create_connection(("127.0.0.1", port))
+        resets.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        hub.closing.set()  # nothing has been accepted yet
+        resets.close()
+        stays.sendall(binary.Message(binary.TEST, b"\1" * 8, {binary.CAUSE: b"\0"}).encode())
+        assert [m.type for m in await read(stays, binary.Decoder())] == [binary.TESTED]
+        stays.close()
+        tasks.cancel_scope.cancel()
+
+
+async def opened(hub: Hub, port: int) -> tuple[socket.socket, Connection]:
+    """A connection of a caller that has sent a set-up, and the hub's side of it."""
+    before = set(hub.connections())
+    sock = socket.create_connection(("127.0.0.1", port))
+    fields = {binary.CLASS: b"a", binary.NUMBER: b"77", binary.DESCRIPTION: b"offer"}
+    sock.sendall(binary.Message(binary.SET_UP, bytes(7) + bytes([len(before) + 1]), fields).encode())
+    await met(lambda: any(c.open for c in hub.connections() - before))
+    (connection,) = hub.connections() - before
+    return sock, connection
+
+
+async def test_a_release_in_hand_when_its_connection_ends_goes_out_on_another() -> None:
+    """In the turn of the end the writer had taken it, and it went with the connection: left standing."""
+    hub = Hub()
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(hub.run)
+        first, ending = await opened(hub, port)
+        second, _ = await opened(hub, port)
+        (offer,) = [w for w in await hub.words(Offer) if w.caller.connection is ending]
+        offer.caller.stands(b"answer")
+        assert [m.type for m in await read(first, binary.Decoder())] == [binary.ANSWER]
+        offer.caller.over(cut=False)
+        ending.scope.cancel()  # as the end of the connection does
+        told = await read(second, binary.Decoder())
+        assert [(m.type, m.call) for m in told] == [(binary.RELEASE, bytes.fromhex(offer.call))]
+        tasks.cancel_scope.cancel()
+
+
+async def test_an_answer_in_hand_when_its_connection_ends_has_the_call_given_up() -> None:
+    hub = Hub()
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(hub.run)
+        _sock, ending = await opened(hub, port)
+        (offer,) = await hub.words(Offer)
+        offer.caller.stands(b"answer")
+        ending.scope.cancel()
+        await met(lambda: ending not in hub.connections())
+        (gone,) = await hub.words(CallerGone)
+        assert (gone.call, gone.caller) == (offer.call, offer.caller) and offer.caller.gone
+        tasks.cancel_scope.cancel()
+
+
+async def test_room_is_not_made_by_closing_a_connection_whose_answer_is_on_its_way_out() -> None:
+    hub = Hub()
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(hub.run)
+        sock, busy = await opened(hub, port)
+        (offer,) = await hub.words(Offer)
+        offer.caller.refused(0.1)
+        busy.outbox.take()  # as the writer does; the kernel has nothing of it yet
+        assert not busy.settled and not hub.callers._room.make()
+        busy.outbox.put(Item(b"\1" * 8, b"", "free"))
+        sock.close()
+        tasks.cancel_scope.cancel()
+
+
+async def test_the_end_of_a_caller_is_marked_before_the_core_hears_of_it() -> None:
+    """The inbox is full: its words wait, the last look must not."""
+    hub = Hub()
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(hub.run)
+        sock, _ = await opened(hub, port)
+        (offer,) = await hub.words(Offer)
+        sock.close()
+        await met(lambda: offer.caller.gone)
+        tasks.cancel_scope.cancel()
+
+
+class Owner:
+    """What a link needs of its owner, with a real server's socket to connect to."""
+
+    def __init__(self) -> None:
+        self.inbox, self.counters, self.log = Inbox(), Counters(), Log(fd=1)
+        self.connect_timeout, self.idle_close, self.room = 0.5, 600.0, True
+        self.listener = peers.listen()
+
+    def address(self) -> Address:
+        return Address("127.0.0.1", self.listener.getsockname()[1])
+
+
+def attempt(call: str = "0" * 15 + "1") -> Attempt:
+    request = Request(b"a", b"77", b"offer")
+    return Attempt(call, 0, "s0", 0.0, 2e9, request, lambda attempt, now: not attempt.revoked)
+
+
+async def test_a_release_in_hand_when_its_line_ends_goes_to_the_server_on_the_next() -> None:
+    owner = Owner()
+    async with anyio.create_task_group() as tasks:
+        link = Link(owner, tasks, "s0", owner.address())
+        link.place(attempt())
+        await met(lambda: owner.counters["servers.invites_written"])
+        peer = peers.Peer(owner.listener.accept()[0], sip.Decoder())
+        asked = await anyio.to_thread.run_sync(peers.invite, peer)
+        peers.reply(peer, asked, 200, b"answer")
+        await met(lambda: link.standing)
+        await turns(5)
+        assert link.release(asked.call)
+        link._lines[0].scope.cancel()  # the line ends in the turn in which the release is taken in hand
+        await met(lambda: not link._lines)
+        assert [bye.call for bye in link._unsent] == [asked.call]
+        link._open()  # as its watch does
+        fresh = peers.Peer((await anyio.to_thread.run_sync(owner.listener.accept))[0], sip.Decoder())
+        bye = await anyio.to_thread.run_sync(lambda: fresh.next(lambda m: m.method == "BYE"))
+        assert bye.call == asked.call
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_cancel_in_hand_when_its_line_ends_is_told_as_cancelled() -> None:
+    """Unheard, the attempt was taken for out until its deadline, and the call stood still."""
+    owner = Owner()
+    async with anyio.create_task_group() as tasks:
+        link = Link(owner, tasks, "s0", owner.address())
+        placed = attempt()
+        link.place(placed)
+        await met(lambda: owner.counters["servers.invites_written"])
+        await turns(5)
+        placed.revoked = True
+        assert link.cancel(placed)
+        link._lines[0].scope.cancel()
+        await met(lambda: not link._lines)
+        over = [w for w in await owner.inbox.drain(0) if isinstance(w, AttemptOver)]
+        assert [(w.attempt, w.outcome) for w in over] == [(placed, i.Outcome.CANCELLED)]
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_cancel_that_finds_its_line_full_gives_the_set_up_up_with_the_line() -> None:
+    """It counted as cancelled while its server still had it: the next attempt would have been a second."""
+    owner = Owner()
+    async with anyio.create_task_group() as tasks:
+        link = Link(owner, tasks, "s0", owner.address())
+        placed = attempt()
+        link.place(placed)
+        await met(lambda: owner.counters["servers.invites_written"])
+        (line,) = link._lines
+        while line.outbox.put(b""):
+            pass
+        placed.revoked = True
+        assert link.cancel(placed)
+        await met(lambda: not link._lines)
+        over = [w for w in await owner.inbox.drain(0) if isinstance(w, AttemptOver)]
+        assert [(w.attempt, w.outcome) for w in over] == [(placed, i.Outcome.RESET)]
+        tasks.cancel_scope.cancel()
--- a/tests/test_long_day.py
+++ b/tests/test_long_day.py
@@ -33,6 +33,8 @@
 class Silent:
     """A caller that takes its answers."""
 
+    gone = False
+
     def stands(self, description: bytes) -> None: ...
 
     def refused(self, stay_away: float) -> None: ...
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -122,7 +122,7 @@
             assert isinstance(listener, anyio.abc.SocketListener)
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             waiting = [socket.create_connection(("127.0.0.1", port)) for _ in range(50)]  # nobody accepts
-            taken = _close(listener)
+            taken = _close(listener.extra(anyio.abc.SocketAttribute.raw_socket))
             assert {sock.getpeername() for sock in taken} == {sock.getsockname() for sock in waiting}
             for sock in (*taken, *waiting):
                 sock.close()
