Notice a watch that keeps events back, and let a drain go by every reload before it

Events missing in the middle (4 after 2) were taken as if nothing lay between, and the missing one was never asked for. - SIGHUP and SIGTERM both pending: the kernel runs the later one's handler first, `follow` returned at SIGTERM, and the reload was lost (0 of 2 SIGHUPs taken). The drain took its times from the newest classes alone. - `OpenCap`, `IdleClose` and `DialTimeout` of a reload waited for a restart, though they are `settings`. - A set-up of which the first bytes came before SIGTERM was cut after 0.8 s if nothing else was under way.

A line ahead of what was applied is borne for 0.5 to 1.5 s, drawn from the seed, doubled up to 8 s while asking brings nothing; then the watch is asked again. A skipped number is asked for once; what a watch begins with is believed. Signals are followed until the fronts have ended; a SIGHUP before the receiver is there is kept. The drain takes the shortest longest deadline since the start, and waits for messages that have begun.

--- a/harepick/__main__.py
+++ b/harepick/__main__.py
@@ -6,9 +6,15 @@
 
 from __future__ import annotations
 
+import signal
+
+EARLY: list[int] = []  # SIGHUPs that came before anybody could follow them: the default would end the program
+if __name__ == "__main__":
+    signal.signal(signal.SIGHUP, lambda number, _: EARLY.append(number))
+
+# ruff: noqa: E402
 import argparse
 import os
-import signal
 import sys
 from collections.abc import AsyncIterator, Iterator
 
@@ -28,11 +34,16 @@
     stop = anyio.Event()
     # Opened before anyone is told that the program serves: a signal must not find the default handler.
     with anyio.open_signal_receiver(*SIGNALS) as heard:
-        async with anyio.create_task_group() as tasks:
-            for front in fronts:
-                await tasks.start(front.run, stop)
-            log.event("serving")
-            tasks.start_soon(follow, heard, fronts, stop, counters, log)
+        async with anyio.create_task_group() as signals:
+            async with anyio.create_task_group() as tasks:
+                for front in fronts:
+                    await tasks.start(front.run, stop)
+                log.event("serving")
+                if EARLY:  # the file may have been replaced after it was read
+                    for front in fronts:
+                        front.reload()
+                signals.start_soon(follow, heard, fronts, stop, counters, log)
+            signals.cancel_scope.cancel()
 
 
 async def follow(
@@ -42,6 +53,8 @@
     counters: Counters,
     log: Log,
 ) -> None:
+    """Until the fronts have ended. Of a SIGHUP and a SIGTERM that are both pending, the kernel runs the
+    handler of the second first: the file is read in a drain as well."""
     async for number in heard:
         if number == signal.SIGUSR1:
             log.event("counters", **counters.snapshot())
@@ -51,7 +64,6 @@
         else:
             log.event("stopping", signal=number)
             stop.set()
-            return
 
 
 def read(words: list[str], counters: Counters) -> tuple[list[Front], Log]:
--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -199,8 +199,9 @@
                 # Told as a server tells its free agents: the module counts on from there.
                 free = room - self._ledger.under_way(server)
                 return [i.Probed(server, i.Outcome.OK, 0.0, {"free": free})]
-            case Retune(settings):
+            case Retune(settings, room):
                 self._settings = settings
+                self._ledger.room = room
                 self._counters.add("core.retuned")
                 return [i.Retuned(settings)]
             case Told(event):
--- a/harepick/core/ledger.py
+++ b/harepick/core/ledger.py
@@ -27,14 +27,14 @@
 class Ledger:
     def __init__(self, room: int) -> None:
         self._calls: dict[str, Entry] = {}
-        self._room = room
+        self.room = room
 
     def __len__(self) -> int:
         return len(self._calls)
 
     @property
     def full(self) -> bool:
-        return len(self._calls) >= self._room
+        return len(self._calls) >= self.room
 
     def __contains__(self, call: str) -> bool:
         return call in self._calls
--- a/harepick/core/words.py
+++ b/harepick/core/words.py
@@ -176,6 +176,7 @@
     """Settings read again at SIGHUP: for what arrives from now on."""
 
     settings: i.Settings
+    room: int  # calls that may be open at once
 
 
 Word = Offer | CallerGone | Answered | AttemptOver | CallOver | ServerDied | Told | Allot | Retune
--- a/harepick/directory.py
+++ b/harepick/directory.py
@@ -49,6 +49,13 @@
             raise DirectoryError(f"offset: {type(error).__name__}: {error}") from None
         return i.ServerList(i.ListKind.REMEMBERED, self.entries())
 
+    def skips(self, event: Any) -> bool:
+        """Whether events are missing between the last one applied and this, which is no whole list."""
+        try:
+            return int(event["offset"]) > self.offset + 1 and not event["topology"].get("reset")
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
+            return False  # `apply` says what is wrong with it
+
     def apply(self, event: Any) -> i.ServerList | None:
         """One event of the bus; None if it was heard before. Raises `DirectoryError`, changing nothing."""
         try:
--- a/harepick/lifecycle.py
+++ b/harepick/lifecycle.py
@@ -20,8 +20,8 @@
 
 async def finish(done: Callable[[], bool], most: float, least: float = 0.0) -> None:
     """Waits until `done`, for `least` at least and `most` at most."""
-    start = time.time()
-    while time.time() - start < most:
-        if time.time() - start >= least and done():
+    start = time.monotonic()  # the Unix clock may be set meanwhile
+    while time.monotonic() - start < most:
+        if time.monotonic() - start >= least and done():
             return
         await anyio.sleep(0.02)
--- a/harepick/net/service.py
+++ b/harepick/net/service.py
@@ -16,6 +16,7 @@
 from harepick.core.words import Retune
 from harepick.counters import Counters
 from harepick.directory import Directory, DirectoryError
+from harepick.interface import Settings
 from harepick.lifecycle import finish
 from harepick.log import Log
 from harepick.net.bus import Bus
@@ -44,7 +45,10 @@
         self._callers: Callers | None = None
         self._inbox: Inbox | None = None
         self._screen: GapScreen | None = None  # number gapping, once gaps are configured
+        self._servers: Servers | None = None
         self._serving = False  # the readiness that `ops` tells: listening, and not stopping
+        # Of all settings since the start: which of them SIGKILL is reckoned by after a reload is not told.
+        self._longest = _longest(config.settings)
         try:
             self._known = self._directory.load(config.known)
         except DirectoryError as error:
@@ -69,11 +73,21 @@
             return
         if self._bus and config.bus != self._bus.address:
             self._bus.move(config.bus)
-        retuned = config.settings != self._config.settings
-        if retuned and self._inbox is not None and self._callers is not None:
+        old = self._config
+        retuned = (config.settings, config.open_cap, config.idle_close) != (
+            old.settings,
+            old.open_cap,
+            old.idle_close,
+        )
+        if retuned and self._inbox is not None and self._callers is not None and self._servers is not None:
             self._callers.retune(config.settings.classes)
-            self._inbox.tell(Retune(config.settings))
-            self._config = replace(self._config, settings=config.settings)
+            self._inbox.tell(Retune(config.settings, config.open_cap))
+            self._servers.connect_timeout = config.settings.connect_timeout
+            self._servers.idle_close = config.idle_close
+            self._longest = min(self._longest, _longest(config.settings))
+            self._config = replace(
+                old, settings=config.settings, open_cap=config.open_cap, idle_close=config.idle_close
+            )
         self._config = replace(self._config, gaps=config.gaps)
         start = self._config  # `known` and `seed` are of a start, and new with each
         waiting = [
@@ -135,7 +149,7 @@
         module = config.settings
         inbox = self._inbox = Inbox()
         directory = self._directory
-        servers = Servers(
+        servers = self._servers = Servers(
             directory,
             inbox,
             counters,
@@ -149,7 +163,7 @@
             module, config.seed, servers, inbox, counters, log, config.open_cap, screen=self._screen
         )
         callers = self._callers = Callers(module.classes, inbox, counters, log, most=config.sockets // 2)
-        bus = self._bus = Bus(config.bus, directory, inbox, servers, counters, log)
+        bus = self._bus = Bus(config.bus, directory, inbox, servers, counters, log, config.seed)
         where = config.listen
         # SO_REUSEPORT: a process that is to take over listens beside this one (docs/design/operating.md).
         listener = await anyio.create_tcp_listener(
@@ -180,15 +194,24 @@
     async def _drain(self, engine: Engine, callers: Callers, servers: Servers, closing: anyio.Event) -> None:
         """A graceful drain, in the order of docs/design/operating.md: take what still comes, answer all that
         was taken before SIGKILL can come, keep what stands while this process may, then release it."""
-        longest = max(c.give_up for c in self._config.settings.classes)
-        began = time.time()
-        grace = min(LONGEST_GRACE, longest) + KILL_AFTER - 2 * FLUSH
-        hold = min(LONGEST_HOLD, longest) + KILL_AFTER + FLUSH
-        await finish(lambda: engine.idle, STILL_COMING, STILL_COMING)
+        began = time.monotonic()
+
+        def grace() -> float:
+            return min(LONGEST_GRACE, self._longest) + KILL_AFTER - 2 * FLUSH
+
+        coming = min(STILL_COMING, grace())
+        await finish(lambda: False, coming)
         closing.set()  # new connections meet the successor, or are refused once none can come any more
-        await finish(lambda: engine.idle, grace - STILL_COMING)
+        hold = min(LONGEST_HOLD, self._longest) + KILL_AFTER + FLUSH  # a reload may have come with the signal
+        # A set-up of which some bytes are there was taken with its connection: its rest may still come.
+        await finish(lambda: engine.idle and not callers.hearing, grace() - coming)
         engine.give_up()
-        self._log.event("drained", standing=len(engine), after=round(time.time() - began, 3))
-        await finish(lambda: engine.idle and not callers.unwritten, hold - (time.time() - began))
+        self._log.event("drained", standing=len(engine), after=round(time.monotonic() - began, 3))
+        await finish(lambda: engine.idle and not callers.unwritten, hold - (time.monotonic() - began))
         engine.release_all()
         await finish(lambda: not callers.unwritten and not servers.unwritten, FLUSH, 0.02)
+
+
+def _longest(settings: Settings) -> float:
+    """The longest deadline, in seconds."""
+    return max(c.give_up for c in settings.classes)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,9 +6,14 @@
 
 from __future__ import annotations
 
+import json
+import random
+import signal
 import socket
+import threading
+import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import Any
 
 import anyio
@@ -22,12 +27,14 @@
 from harepick.counters import Counters
 from harepick.log import Log
 from harepick.net import binary, sip
+from harepick.net.bus import LONGEST_PATIENCE, PATIENCE, SPREAD, Lag
 from harepick.net.callers import Callers
 from harepick.net.link import Link
 from harepick.net.room import Connection, Item
 from harepick.net.setups import Request
 from harepick.settings import Address
 from tests import peers
+from tests.test_platform import stand
 
 Leave = Callable[[peers.Caller, bytes], None]
 LEAVES: dict[str, Leave] = {
@@ -134,6 +141,193 @@
         assert running.counters()["servers.sent_invite"] == sent
 
 
+# A list that falls silent
+
+
+def told(bus: socket.socket, *lines: object) -> None:
+    """The bus says these: numbers for its line of each second, events as they are."""
+    bus.sendall(b"".join(json.dumps(line).encode() + b"\n" for line in lines))
+
+
+def test_a_watch_that_speaks_and_brings_no_events_is_asked_again_from_the_last_one() -> None:
+    """It counts as told 4 s after it fell silent; each second's line kept the old silence check quiet."""
+    place = peers.Platform()
+    with place.run() as running:
+        withheld = place.follower()
+        assert withheld.recv(100) == b"from 1\n"
+        told(withheld, {"offset": 1}, peers.event(2, peers.row("s9", "127.0.0.1:9", 1)), {"offset": 2})
+        peers.until(lambda: running.events("list"), why="the event")
+        began = time.monotonic()
+        stop = threading.Event()
+
+        def speak() -> None:
+            while not stop.wait(0.2):
+                with suppress(OSError):
+                    told(withheld, {"offset": 3})
+
+        speaker = threading.Thread(target=speak)
+        speaker.start()
+        try:
+            again = place.follower()
+        finally:
+            stop.set()
+            speaker.join()
+        assert again.recv(100) == b"from 2\n"
+        assert time.monotonic() - began < 3.0
+        told(again, peers.event(3, peers.row("s0", place.setups[0].address, 0, "DRAINING")), {"offset": 3})
+        peers.until(lambda: len(running.events("list")) == 2, why="what was kept back")
+        assert running.counters()["bus.behind"] == 1
+
+
+def test_events_that_are_missing_in_the_middle_are_asked_for_and_a_bus_without_them_is_believed() -> None:
+    place = peers.Platform(servers=2)
+    with place.run() as running:
+        bus = place.follower()
+        assert bus.recv(100) == b"from 1\n"
+        late = peers.row("s9", "127.0.0.1:9", 1)
+        told(bus, peers.event(2, late), peers.event(4, late))
+        bus = place.follower()
+        assert bus.recv(100) == b"from 2\n"
+        drain = peers.row("s0", place.setups[0].address, 0, "DRAINING")
+        told(bus, peers.event(3, drain), peers.event(4, late), peers.event(6, late))
+        bus = place.follower()
+        assert bus.recv(100) == b"from 4\n"
+        told(bus, peers.event(6, late))  # there is no fifth: what a watch begins with is all there is
+        told(bus, peers.event(9, peers.row("s1", place.setups[1].address, 1), late, reset=True))
+        peers.until(lambda: len(running.events("list")) == 5, why="the whole list, which skips nothing")
+        assert [e["offset"] for e in running.events("list")] == [2, 3, 4, 6, 9]
+        assert "s0 gone" in " ".join(running.events("list")[-1]["rows"])
+        assert running.counters()["bus.gaps"] == 2
+
+
+def test_lower_numbers_of_a_bus_take_nothing_back() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        bus = place.follower()
+        told(bus, peers.event(2, peers.row("s9", "127.0.0.1:9", 1)), {"offset": 1}, 0)
+        told(bus, peers.event(1, peers.row("s0", place.setups[0].address, 0, "DELETED"), reset=True))
+        running.counted("bus.lower_numbers", 2)
+        running.counted("bus.repeated")
+        assert peers.figures(place.ops)["edge_gw_members"] == 2
+        stand(place, peers.Caller(place.port))
+
+
+def test_a_lag_is_borne_for_its_bound_and_longer_each_time_that_asking_brings_nothing() -> None:
+    """Also spread: a fleet that notices in the same second does not ask in the same moment."""
+    lags = [Lag(random.Random(n)) for n in range(200)]
+    for lag in lags:
+        lag.told(5, 4, now=100.0)
+    due = sorted(lag.due - 100.0 for lag in lags if lag.due is not None)
+    assert len(due) == 200 and due[0] >= PATIENCE and due[-1] <= PATIENCE + SPREAD
+    per_tenth = [sum(n / 10 <= d - PATIENCE < (n + 1) / 10 for d in due) for n in range(10)]
+    assert max(per_tenth) < 45  # of 200; in step they would be all
+    lag = lags[0]
+    for tries in range(1, 8):
+        lag.asked()
+        lag.told(5, 4, now=200.0)
+        assert lag.due is not None
+        bound = min(PATIENCE * 2**tries, LONGEST_PATIENCE)
+        assert bound <= lag.due - 200.0 <= bound + SPREAD
+    lag.applied(5)
+    assert lag.due is None
+    lag.told(6, 5, now=300.0)
+    assert lag.due is not None and lag.due - 300.0 <= PATIENCE + SPREAD
+
+
+# A reload, a drain, and both
+
+
+def test_a_set_up_that_comes_in_pieces_across_sigterm_is_answered() -> None:
+    """With nothing else under way the process left after 0.8 s, in the middle of it."""
+    place = peers.Platform()
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        whole = set_up(b"\5" * 8)
+        caller.send(whole[:9])
+        running.counted("callers.connections")
+        running.process.send_signal(signal.SIGTERM)
+        peers.until(lambda: running.events("not_listening"), why="the close of the listener")
+        caller.send(whole[9:])
+        server = place.setups[0].accept()
+        peers.reply(server, peers.invite(server), 200, b"answer")
+        assert caller.told(b"\5" * 8).type == binary.ANSWER
+        assert running.process.wait(8) == 0
+
+
+def set_up(call: bytes) -> bytes:
+    fields = {binary.CLASS: b"a", binary.NUMBER: b"77", binary.DESCRIPTION: b"offer"}
+    fields[binary.FIGURES] = b"dest:0"
+    return binary.Message(binary.SET_UP, call, fields).encode()
+
+
+@pytest.mark.parametrize("when", ["before", "during"])
+def test_a_drain_after_a_reload_answers_by_the_shorter_of_the_deadlines(when: str) -> None:
+    """SIGKILL comes 0.7 s after the longest deadline, old or new: the tighter holds."""
+    place = peers.Platform()
+    for row in place.config["settings"]["Classes"]:
+        row["GiveUp"], row["Promise"] = (1.0, 0.8) if when == "before" else (9.0, 0.8)
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        open_call = caller.call(patience_ms=1000)
+        peers.invite(place.setups[0].accept())
+        for row in place.config["settings"]["Classes"]:
+            row["GiveUp"] = 9.0 if when == "before" else 1.0
+        place.path.write_text(json.dumps(place.config))
+        running.process.send_signal(signal.SIGHUP)
+        running.process.send_signal(signal.SIGHUP)  # twice, and the end at once after them
+        running.process.send_signal(signal.SIGTERM)
+        began = time.monotonic()
+        assert caller.told(open_call).type == binary.RELEASE
+        drained = peers.until(lambda: running.events("drained"), why="the end of the drain")
+        assert drained[0]["after"] <= 1.0 + 0.7 - 0.2
+        assert running.process.wait(4) == 0
+        assert time.monotonic() - began < 1.0 + 0.7 + 0.5
+        assert len(running.events("reloaded")) >= 1 and "reload_failed" not in running.text()
+
+
+def test_a_reload_reaches_the_limits_that_parts_were_given_at_the_start() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        place.config["settings"]["Bounds"] |= {"OpenCap": 1, "IdleClose": 0.4}
+        place.path.write_text(json.dumps(place.config))
+        running.process.send_signal(signal.SIGHUP)
+        done = peers.until(lambda: running.events("reloaded"), why="the reload")[0]
+        assert done["waiting_for_restart"] == []
+        caller = peers.Caller(place.port)
+        first = caller.call()
+        server = place.setups[0].accept()
+        asked = peers.invite(server)
+        assert caller.told(caller.call()).parameters[binary.CAUSE] == b"\x2a"  # one may be open now
+        peers.reply(server, asked, 200, b"answer")
+        assert caller.told(first).type == binary.ANSWER
+        caller.ask(binary.RELEASE, first, 16)
+        assert server.next(lambda m: m.method == "BYE").call == first.hex()
+        server.send(sip.response(server_bye(first), 200, b"OK"))
+        with pytest.raises(EOFError):  # closed as idle, after the new time
+            server.next(lambda _: False, within=3.0)
+        assert running.counters()["answers.no_room"] == 1
+
+
+def server_bye(call: bytes) -> sip.Message:
+    (message,) = sip.Decoder().feed(sip.bye(b"77", call.hex(), 2, 16))
+    return message
+
+
+def test_sighup_in_a_drain_and_before_the_start_is_over_ends_nothing() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        open_call = caller.call(patience_ms=2000)
+        server = place.setups[0].accept()
+        asked = peers.invite(server)
+        running.process.send_signal(signal.SIGTERM)
+        peers.until(lambda: running.events("stopping"), why="the stop")
+        running.process.send_signal(signal.SIGHUP)
+        peers.reply(server, asked, 200, b"answer")
+        assert caller.told(open_call).type == binary.ANSWER
+        assert running.process.wait(8) == 0
+
+
 # In the same turn of the loop
 
 pytestmark = pytest.mark.anyio
