Share descriptors out so that nobody starves, and take set-ups that need over 2 s to write

`Shares` divides the limit, the program's own descriptors and those of connections in between included; `ops` gets a sixteenth, 64 at most. A lack of our own tells nothing of a server (`OWN_LACK`). A first message has 2.5 s from the acceptance. The silence limit of a watch is 1.5 to 1.75 s, drawn from the seed.

--- a/harepick/net/bus.py
+++ b/harepick/net/bus.py
@@ -25,6 +25,7 @@
 # The bus says something every second, and what it would have told counts as told 4 s after it fell silent
 # and 2 s after a break: a line may be late, but two pauses and a connection must fit into those 2 s.
 SILENCE = 1.75
+IN_STEP = 0.25  # drawn off it: a fleet whose watches fall silent at once does not ask again at once
 LINE = 1 << 20
 CONNECT_TIMEOUT = 0.5
 FIRST_PAUSE, LONGEST_PAUSE = 0.02, 0.2
@@ -76,7 +77,9 @@
         log: Log,
         seed: int = 0,
     ) -> None:
-        self._lag = Lag(random.Random(seed))
+        rng = random.Random(seed)
+        self._lag = Lag(rng)
+        self._silence = SILENCE - IN_STEP * rng.random()
         self._address = where
         self._directory = directory
         self._inbox = inbox
@@ -128,7 +131,9 @@
             try:
                 now = time.monotonic()
                 due = self._lag.due
-                with anyio.fail_after(SILENCE if due is None else min(SILENCE, max(0.0, due - now))):
+                with anyio.fail_after(
+                    self._silence if due is None else min(self._silence, max(0.0, due - now))
+                ):
                     line = await lines.receive_until(b"\n", LINE)
                 event = orjson.loads(line)
                 heard = True
--- a/harepick/net/callers.py
+++ b/harepick/net/callers.py
@@ -31,6 +31,7 @@
 SEND_TIMEOUT = 5.0  # a caller that takes nothing for so long has its connection closed
 WAITING = 4_096  # releases kept for the next connection
 MOST_BAD = 16  # faulty messages taken from one connection; a client that sends the same again is closed
+ENTERING = 4  # connections accepted that the room does not count yet
 AT_ONCE = 32  # messages taken before the other connections have their turn
 
 
@@ -104,6 +105,7 @@
         self._log = log
         self._room = Room(most, counters)
         self._waiting: deque[Item] = deque(maxlen=WAITING)
+        self._entering = 0
 
     def retune(self, classes: tuple[i.CallClass, ...]) -> None:
         """The classes of settings read again."""
@@ -133,9 +135,11 @@
                 while True:
                     await anyio.wait_readable(raw)
                     try:
-                        for _ in range(AT_ONCE):
+                        while self._entering < ENTERING:
                             sock, _peer = raw.accept()
+                            self._entering += 1
                             tasks.start_soon(self._serve_accepted, sock)
+                        await anyio.lowlevel.checkpoint()
                     except (BlockingIOError, ConnectionAbortedError):
                         continue
                     except OSError as error:
@@ -144,6 +148,7 @@
                         self._room.make()
                         await anyio.sleep(0.02)
             for sock in _close(raw):
+                self._entering += 1
                 tasks.start_soon(self._serve_accepted, sock)
             self._log.event("not_listening", taken=self._counters["callers.connections"])
 
@@ -156,11 +161,14 @@
             self._counters.add("callers.not_accepted")
             sock.close()
             return
+        finally:
+            self._entering -= 1
         await self.serve(stream)
 
     async def serve(self, stream: SocketStream) -> None:
         """One connection, from its acceptance to its end; no fault of it goes further."""
-        connection = Connection(stream, time.time())
+        now = time.time()
+        connection = Connection(stream, now, opened=now)
         if not self._room.enter(connection):
             await anyio.aclose_forcefully(stream)
             return
--- a/harepick/net/line.py
+++ b/harepick/net/line.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import time
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -36,6 +37,7 @@
 CSEQ = 1  # of every INVITE; a release has the next
 CUT = 41  # cause of a release for a call that was cut; 16 is its common end
 SEND_TIMEOUT = 2.0  # a server that takes nothing for so long has its connection closed
+OWN_LACK = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 CROSSINGS = 4_096  # set-ups given up whose answer may still come
 STALL = 0.25  # a message begun and not finished in this time will not be
 QUIET = 0.25  # with a set-up open, a line that says nothing for so long may have gone dead
@@ -68,6 +70,7 @@
         self.calls = 0  # that were set up here and stand
         self.up = False
         self.spoke = False
+        self.starved = False  # it did not come up for a lack of our own, which tells nothing of the server
         self.heard = 0.0  # when it last said anything, or came up
         self.scope = anyio.CancelScope()
         for item in orders:
@@ -118,6 +121,8 @@
             self._count("servers.unreached")
             name = type(error).__name__
             self._link.port.log.event("unreached", server=self._link.server, error=name)
+            said = error.__cause__ or error  # anyio wraps what the system said
+            self.starved = isinstance(said, OSError) and said.errno in OWN_LACK
             return None
         self.up = True
         self.heard = time.time()
--- a/harepick/net/link.py
+++ b/harepick/net/link.py
@@ -165,7 +165,7 @@
                     self._open(item)
                 else:
                     tell(AttemptOver(item, i.Outcome.UNREACHED))
-        if not line.up and not self.retired:
+        if not line.up and not self.retired and not line.starved:
             self._failure()
 
     def _keep(self, bye: Bye) -> None:
--- a/harepick/net/room.py
+++ b/harepick/net/room.py
@@ -17,8 +17,10 @@
 from harepick.counters import Counters
 from harepick.net.outbox import Outbox
 
-FIRST_WORD = 2.0  # from the acceptance to the first whole message: a client is owed a word or a close in 3 s
-HALF = 2.0  # a message begun and not finished in this time
+FIRST_WORD = 2.0  # without a byte from the acceptance on: a client is owed a word or a close in 3 s
+HALF = (
+    2.5  # from the acceptance to the first whole message, or for a later one: some callers take 2 s to write
+)
 IDLE = 10.0  # without a call on it; callers close such a connection themselves after 4 s
 LOOK = 0.25  # how often the limits are looked at
 
@@ -37,6 +39,7 @@
 class Connection:
     stream: SocketStream
     at: float  # when it last said something whole, or was told something
+    opened: float = 0.0
     outbox: Outbox[Item] = field(default_factory=Outbox)
     open: dict[bytes, Caller] = field(default_factory=dict)  # set-ups that wait for their answer
     standing: set[bytes] = field(default_factory=set)  # calls answered here that still stand
@@ -110,7 +113,7 @@
             for connection in [c for c in self.connections if c.settled]:
                 half = connection.half_since
                 if half is not None:  # a message begun has its own time, wherever it began
-                    if now - half > HALF:
+                    if now - (half if connection.fit else connection.opened) > HALF:
                         self._close(connection, "half_said")
                 elif not connection.fit and now - connection.at > FIRST_WORD:
                     self._close(connection, "silent")
--- a/harepick/net/service.py
+++ b/harepick/net/service.py
@@ -4,7 +4,7 @@
 
 import time
 from collections.abc import Mapping
-from dataclasses import fields, replace
+from dataclasses import dataclass, fields, replace
 from socket import SO_RCVBUF, SOL_SOCKET
 from typing import TYPE_CHECKING
 
@@ -20,7 +20,7 @@
 from harepick.lifecycle import finish
 from harepick.log import Log
 from harepick.net.bus import Bus
-from harepick.net.callers import Callers
+from harepick.net.callers import ENTERING, Callers
 from harepick.net.servers import Servers
 from harepick.settings import Platform, SettingsError, read_platform
 
@@ -33,9 +33,28 @@
 LONGEST_HOLD = 5.0  # at a handover SIGKILL comes after the longest deadline, 5 s at most, and 0.7 s
 KILL_AFTER = 0.7
 FLUSH = 0.2
+# Descriptors of the program itself: log, loop, listeners, bus, a file that is read again, and connections
+# that have been accepted and not yet counted.
+OWN = 12 + ENTERING
 RECEIVE = 32 * 1024  # bytes in a caller connection's receive buffer, twice a message at its longest
 
 
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """Who may hold how many of the descriptors. Together they stay under the limit, whoever fills their
+    share: the bus, a line to a server and a late caller always find one."""
+
+    callers: int
+    lines: int
+    ops: int
+
+    @classmethod
+    def of(cls, sockets: int) -> Shares:
+        lines = max(1, sockets // 4)
+        ops = max(2, min(64, sockets // 16))
+        return cls(max(1, min(sockets // 2, sockets - lines - ops - OWN)), lines, ops)
+
+
 class PlatformFront:
     def __init__(self, config: Platform, environ: Mapping[str, str], counters: Counters, log: Log) -> None:
         self._config, self._environ, self._counters, self._log = config, environ, counters, log
@@ -149,6 +168,7 @@
         module = config.settings
         inbox = self._inbox = Inbox()
         directory = self._directory
+        shares = Shares.of(config.sockets)
         servers = self._servers = Servers(
             directory,
             inbox,
@@ -156,13 +176,13 @@
             log,
             module.connect_timeout,
             config.idle_close,
-            most_lines=config.sockets // 4,
+            most_lines=shares.lines,
         )
         self._screen_gaps(config)
         engine = self._engine = Engine(
             module, config.seed, servers, inbox, counters, log, config.open_cap, screen=self._screen
         )
-        callers = self._callers = Callers(module.classes, inbox, counters, log, most=config.sockets // 2)
+        callers = self._callers = Callers(module.classes, inbox, counters, log, most=shares.callers)
         bus = self._bus = Bus(config.bus, directory, inbox, servers, counters, log, config.seed)
         where = config.listen
         # SO_REUSEPORT: a process that is to take over listens beside this one (docs/design/operating.md).
@@ -174,7 +194,7 @@
             if config.ops:  # off unless configured: not even loaded then
                 from harepick.ops import OpsListener
 
-                await tasks.start(OpsListener(config.ops, self, counters, log).run)
+                await tasks.start(OpsListener(config.ops, self, counters, log, most=shares.ops).run)
             await tasks.start(servers.run)
             tasks.start_soon(engine.run, self._known)
             tasks.start_soon(bus.run)
--- a/harepick/ops/listener.py
+++ b/harepick/ops/listener.py
@@ -57,8 +57,11 @@
         counters: Counters,
         log: Log,
         pages: Mapping[str, Callable[[], Any]] | None = None,
+        most: int = MOST_CONNECTIONS,
     ) -> None:
-        """`pages`: other paths, each with what its JSON is made of at the moment of the call."""
+        """`pages`: other paths, each with what its JSON is made of at the moment of the call. `most`: how
+        many connections, and so descriptors, may be open at once."""
+        self._most = most
         self._address, self._status, self._counters, self._log = address, status, counters, log
         self._callers: set[_Caller] = set()
         self._routes: dict[bytes, Callable[[], tuple[int, bytes, bytes]]] = {
@@ -87,7 +90,7 @@
                 self._log.event("not_accepted", front="ops", error=error.strerror)
                 await anyio.sleep(0.05)
                 continue
-            if len(self._callers) >= MOST_CONNECTIONS:
+            if len(self._callers) >= self._most:
                 oldest = min(self._callers, key=lambda c: c.since)
                 oldest.scope.cancel()
                 self._callers.discard(oldest)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,6 +8,7 @@
 
 import json
 import random
+import resource
 import signal
 import socket
 import threading
@@ -328,6 +329,75 @@
         assert running.process.wait(8) == 0
 
 
+# Descriptors
+
+
+@pytest.mark.parametrize("sockets", [64, 256])
+def test_idle_clients_that_fill_all_they_may_while_discovery_is_down_starve_nobody(sockets: int) -> None:
+    """Callers, callers of `ops` and lines each have their share: together they were over the limit."""
+    place = peers.Platform()
+    place.config["limits"]["sockets"] = sockets
+    where = place.bus.getsockname()
+    place.bus.close()  # discovery is down from the start
+    with place.run() as running:
+        resource.prlimit(running.process.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
+        idle = [peers.Caller(place.port) for _ in range(2 * sockets)]
+        slow = [socket.create_connection(("127.0.0.1", place.ops)) for _ in range(2 * sockets)]
+        running.counted("callers.made_room")
+        late = peers.Caller(place.port)
+        calls = [late.call() for _ in range(4)]
+        lines = [place.setups[0].accept() for _ in calls]
+        asked = [peers.invite(line) for line in lines]
+        assert peers.ops_call(place.ops, "/api/ready")[0] == 200
+        with socket.create_server(where) as place.bus:
+            assert place.follower().recv(100) == b"from 1\n"
+            for line, what in zip(lines, asked, strict=True):
+                peers.reply(line, what, 200, b"answer")
+            assert {late.told(call).type for call in calls} == {binary.ANSWER}
+        for client in idle:
+            client.close()
+        for sock in slow:
+            sock.close()
+        after = peers.Caller(place.port)
+        again = after.call()
+        line, what = peers.until(lambda: place.setups[0].invited(within=0.1), why="the call after them")
+        peers.reply(line, what, 200, b"answer")
+        assert after.told(again).type == binary.ANSWER
+        counters = running.counters()
+        assert "callers.not_accepted" not in counters and "ops.not_accepted" not in counters
+        assert "servers.unreached" not in counters
+
+
+def test_a_connection_that_failed_for_lack_of_our_own_descriptors_proves_no_death() -> None:
+    place = peers.Platform()
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        call, server = stand(place, caller)
+        pid = running.process.pid
+        _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (3, hard))  # not one more
+        server.close(reset=True)  # the link wants a new line for the call that stands, and gets none
+        running.counted("servers.unreached", 5)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (hard, hard))
+        again = place.setups[0].accept()
+        again.send(sip.bye(b"1", call.hex(), 7, 16))
+        assert caller.told(call).parameters[binary.CAUSE] == bytes([16])
+        assert "servers.died" not in running.counters()
+
+
+def test_a_set_up_that_takes_over_2_s_to_write_is_answered() -> None:
+    place = peers.Platform()
+    with place.run():
+        caller = peers.Caller(place.port)
+        whole = set_up(b"\6" * 8)
+        for at in range(12):  # in twelve pieces, 0.21 s apart
+            caller.send(whole[at * 3 : (at + 1) * 3 if at < 11 else None])
+            time.sleep(0.21 if at < 11 else 0)
+        server = place.setups[0].accept()
+        peers.reply(server, peers.invite(server), 200, b"answer")
+        assert caller.told(b"\6" * 8).type == binary.ANSWER
+
+
 # In the same turn of the loop
 
 pytestmark = pytest.mark.anyio
