--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -213,7 +213,13 @@
         if offer.caller.gone:  # it left before it was heard: nothing begins for it
             self._counters.add("calls.given_up")
             return []
-        if offer.call in self._ledger:  # whoever sent it, the call that is open keeps its id
+        known = self._ledger.get(offer.call)
+        if known is not None and known.answered and known.standing_at is None:
+            # Given up or answered, with an attempt still out: it may be sent again once that has ended.
+            self._counters.add("answers.ending")
+            offer.caller.refused(self._advice(self._settings.release_guard))
+            return []
+        if known is not None:  # whoever sent it, the call that is open keeps its id
             self._counters.add("calls.clashes")
             offer.caller.clashes()
             return []
@@ -223,11 +229,11 @@
             return []
         if self._ledger.full:  # memory is bounded; the caller is told to stay away as long as it can be
             self._counters.add("answers.no_room")
-            offer.caller.refused(self._settings.max_advice)
+            offer.caller.refused(self._advice(self._settings.max_advice))
             return []
         if self._gate and (wait := self._gate.shut()) is not None:
             self._counters.add("answers.not_current")
-            offer.caller.refused(min(wait, self._settings.max_advice))
+            offer.caller.refused(self._advice(wait))
             return []
         if self.screen:
             wait = self.screen.refuses(offer.called, offer.class_name, now, offer.source)
@@ -250,6 +256,10 @@
             )
         ]
 
+    def _advice(self, wait: float) -> float:
+        """How long a caller is told to stay away; 0, which tells nothing, where settings allow no advice."""
+        return min(wait, self._settings.max_advice) if self._settings.may_advise else 0.0
+
     def _answered(self, word: Answered, now: float) -> list[i.Event]:
         entry = self._ledger.get(word.call)
         attempt = entry.out if entry else None
@@ -323,7 +333,7 @@
         for entry in waiting:
             self._counters.add("answers.not_current")
             entry.answered = True
-            entry.offer.caller.refused(min(wait, self._settings.max_advice))
+            entry.offer.caller.refused(self._advice(wait))
             self._leaving.append(entry)
         return [i.CallerLeft(entry.offer.call) for entry in waiting]
 
--- a/harepick/settings.py
+++ b/harepick/settings.py
@@ -110,6 +110,10 @@
     return float(value)
 
 
+def _whole(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
 def _table(table: Mapping[str, Any], key: str) -> Mapping[str, Any]:
     value = table.get(key)
     if value is None:
@@ -150,12 +154,18 @@
     if not isinstance(rows, list) or not rows:
         raise SettingsError("setting Classes is missing")
     pools = _table(options, "Extra").get("AllowedPools") or []
-    classes = []
+    if not isinstance(pools, list):
+        raise SettingsError(f"setting Extra.AllowedPools makes no sense: {pools!r}")
+    classes: list[i.CallClass] = []
     for n, row in enumerate(rows):
         if not isinstance(row, Mapping) or not isinstance(row.get("Name"), str):
             raise SettingsError(f"setting Classes[{n}].Name is missing")
+        if any(c.name == row["Name"] for c in classes):
+            raise SettingsError(f"setting Classes[{n}].Name is there twice: {row['Name']!r}")
+        allowed = pools[n] if n < len(pools) else None
+        if allowed is not None and not (isinstance(allowed, list) and all(map(_whole, allowed))):
+            raise SettingsError(f"setting Extra.AllowedPools[{n}] makes no sense: {allowed!r}")
         try:
-            allowed = pools[n] if n < len(pools) else None
             classes.append(
                 i.CallClass(
                     name=row["Name"],
@@ -164,7 +174,7 @@
                     worth=_number(row, "Importance", 0.0),
                     late_share=_number(row, "LateShare", 0.0, 0.0),
                     effect=str(row.get("Effect") or "free"),
-                    pools=None if allowed is None else tuple(int(x) for x in allowed),
+                    pools=None if allowed is None else tuple(allowed),
                     dedup_window=_number(row, "DedupWindow", 0.0, 0.0),
                 )
             )
@@ -179,7 +189,16 @@
         raise SettingsError("setting Options makes no sense")
     bounds, extra = _table(options, "Bounds"), _table(options, "Extra")
     tenants = []
-    for row in options.get("Projects") or []:
+    projects = options.get("Projects") or []
+    if not isinstance(projects, list) or not all(isinstance(row, Mapping) for row in projects):
+        raise SettingsError(f"setting Projects makes no sense: {projects!r}")
+    own_number = extra.get("SelfNo")
+    if own_number is not None and not _whole(own_number):
+        raise SettingsError(f"setting Extra.SelfNo makes no sense: {own_number!r}")
+    fields = _table(options, "Report").get("Fields") or []
+    if not isinstance(fields, list):
+        raise SettingsError(f"setting Report.Fields makes no sense: {fields!r}")
+    for row in projects:
         allowance, share = _number(row, "AllowancePerS", 0.0, 0.0), _number(row, "Share", 0.0, 0.0)
         tenants.append(i.Tenant(str(row.get("Name")), allowance, share))
     return i.Settings(
@@ -204,10 +223,10 @@
         may_advise=bool(bounds.get("RetryAfter")),
         max_advice=_number(options, "Bounds.MaxRetryAfter", 0.0, 0.0),
         marks_redials=bool(_table(options, "Callers").get("MarksRetry")),
-        own_number=-1 if extra.get("SelfNo") is None else int(extra["SelfNo"]),
+        own_number=-1 if own_number is None else own_number,
         must_ask=options.get("MembershipMode") == "ask",
         ask_within=_number(options, "Rules.MustAskIn", 0.0, 10.0),
-        report_fields=tuple(_table(options, "Report").get("Fields") or ()),
+        report_fields=tuple(fields),
         zone=str(options.get("Locality") or ""),
     )
 
--- /dev/null
+++ b/tests/test_cold_model.py
@@ -0,0 +1,20 @@
+"""The fleet's sum at cold servers in seeded worlds; and that the check can fail."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks.cold_model import World
+from harepick import decide
+
+
+@pytest.mark.parametrize(("seed", "fronts"), [(1, 30), (2, 20), (7, 30), (52, 60)])
+def test_what_all_fronts_send_to_a_cold_server_stays_within_its_budget(seed: int, fronts: int) -> None:
+    found = World(seed, fronts).play()
+    assert found["cold"] and found["sends"] > 500
+    assert found["worst"] <= 1.0
+
+
+def test_fronts_that_keep_no_ramp_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(decide.Controller, "_cold_room", lambda self, server: True)
+    assert World(1, 30).play()["worst"] > 1.0
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -142,6 +142,29 @@
         assert running.counters()["servers.sent_invite"] == sent
 
 
+def test_an_id_that_comes_again_while_its_first_attempt_is_still_out_is_refused_at_once() -> None:
+    """Its connection was closed without a word, as for an id that is open."""
+    place = peers.Platform()
+    place.config["settings"]["Bounds"]["Cancelling"] = False
+    with place.run() as running:
+        first, second = peers.Caller(place.port), peers.Caller(place.port)
+        call = first.call()
+        line = place.setups[0].accept()
+        asked = peers.invite(line)
+        first.close()
+        running.counted("calls.given_up")
+        second.call(ident=call)
+        refused = second.told(call)
+        assert refused.parameters[binary.CAUSE] == bytes([42])
+        guard = place.config["settings"]["Extra"]["Guard"]
+        assert int(refused.parameters[binary.STAY_AWAY]) == round(guard * 1000)
+        peers.reply(line, asked, 503, note=b"processor_full")
+        running.counted("attempts.full")
+        second.call(ident=call)
+        found = peers.until(lambda: place.setups[0].invited(within=0.1), why="the call, once more")
+        assert found[1].call == call.hex()
+
+
 # A list that falls silent
 
 
