--- a/Makefile
+++ b/Makefile
@@ -1,18 +1,31 @@
 # Two commands: 'make run' and 'make test'.
 PYTHON = .venv/bin/python
-SET_UP = .venv/.store-installed
+RUN_READY = .venv/.store-installed
+TEST_READY = .venv/.dev-installed
 
-$(SET_UP): requirements-store.txt requirements.txt pyproject.toml
-	test -x $(PYTHON) || python3 -m venv .venv
+$(PYTHON):
+	python3 -m venv .venv
+
+$(RUN_READY): requirements-store.txt requirements.txt pyproject.toml | $(PYTHON)
 	$(PYTHON) -m pip -q install -r requirements-store.txt
 	$(PYTHON) -m pip -q install --no-deps -e .
 	touch $@
 
+$(TEST_READY): requirements-dev.txt requirements-fleet.txt requirements-store.txt requirements.txt | $(PYTHON)
+	$(PYTHON) -m pip -q install -r requirements-dev.txt
+	touch $@
+
 .PHONY: run test setup
-setup: $(SET_UP)
+setup: $(RUN_READY)
 
-run: $(SET_UP)
+run: $(RUN_READY)
 	exec $(PYTHON) -m harepick --operator deploy/daemon.toml
 
-test:
-	bash .ci/run
+# Lint, types and tests; KNOWN-RED.txt, if there is one, names the tests that may fail (tests/conftest.py).
+test: $(TEST_READY)
+	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
+	.venv/bin/mypy
+	$(PYTHON) -m pytest -q -n 4 -m "not alone and not fleet"
+	$(PYTHON) -m pytest -q -n 3 -m fleet
+	$(PYTHON) -m pytest -q -m alone
