--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -352,6 +352,44 @@
         assert running.process.wait(8) == 0
 
 
+@pytest.mark.parametrize("state", ["DRAINING", "DELETED"])
+def test_a_server_told_off_while_its_connection_opens_gets_nothing(state: str) -> None:
+    place = peers.Platform(servers=2)
+    place.config["settings"]["Bounds"]["DialTimeout"] = 6.0
+    with place.run() as running, unreachable(place.setups[0]) as reach:
+        bus = place.follower()
+        caller = peers.Caller(place.port)
+        call = caller.call(patience_ms=4000, dest=0)
+        running.counted("attempts.placed")
+        told(bus, peers.event(2, peers.row("s0", place.setups[0].address, 0, state)))
+        peers.until(lambda: running.events("list"), why="the news")
+        reach()
+        found = peers.until(lambda: place.setups[1].invited(within=0.1), why="the call at the other")
+        assert found[1].call == call.hex()
+        peers.reply(found[0], found[1], 200, b"answer")
+        assert caller.told(call).type == binary.ANSWER
+        assert place.setups[0].invited(within=0.5) is None
+        assert running.counters()["servers.sent_invite"] == 1
+
+
+def test_a_release_that_comes_after_the_drain_has_answered_all_reaches_the_server() -> None:
+    place = peers.Platform()
+    for row in place.config["settings"]["Classes"]:
+        row["GiveUp"], row["Promise"] = 1.5, 0.8
+    with place.run() as running:
+        caller = peers.Caller(place.port)
+        call = caller.call(patience_ms=1400)
+        server = place.setups[0].accept()
+        peers.reply(server, peers.invite(server), 200, b"answer")
+        assert caller.told(call).type == binary.ANSWER
+        running.process.send_signal(signal.SIGTERM)
+        peers.until(lambda: running.events("drained"), why="the end of the drain")
+        caller.ask(binary.RELEASE, call, 16)
+        assert server.next(lambda m: m.method == "BYE").call == call.hex()
+        assert running.process.wait(4) == 0
+        assert "calls.cut_at_exit" not in running.events("counters")[-1]
+
+
 # Descriptors
 
 
@@ -565,6 +603,7 @@
         offer.caller.refused(0.1)
         busy.outbox.take()  # as the writer does; the kernel has nothing of it yet
         assert not busy.settled and not hub.callers._room.make()
+        assert hub.callers.unwritten == 1  # a drain waits for it
         busy.outbox.put(Item(b"\1" * 8, b"", "free"))
         sock.close()
         tasks.cancel_scope.cancel()
@@ -621,6 +660,29 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_a_set_up_given_to_a_line_in_the_turn_of_its_end_goes_out_on_the_next() -> None:
+    """As when an idle line closes: it has not left, and nothing is known against the server."""
+    owner = Owner()
+    async with anyio.create_task_group() as tasks:
+        link = Link(owner, tasks, "s0", owner.address())
+        first, second = attempt(), attempt("0" * 15 + "2")
+        link.place(first)
+        await met(lambda: owner.counters["servers.invites_written"])
+        peer = peers.Peer(owner.listener.accept()[0], sip.Decoder())
+        asked = await anyio.to_thread.run_sync(peers.invite, peer)
+        peers.reply(peer, asked, 503)
+        await met(lambda: not link._lines[0].load)
+        (line,) = link._lines
+        line.close("idle")
+        link.place(second)
+        await met(lambda: owner.counters["servers.invites_written"] == 2)
+        fresh = peers.Peer((await anyio.to_thread.run_sync(owner.listener.accept))[0], sip.Decoder())
+        assert (await anyio.to_thread.run_sync(peers.invite, fresh)).call == second.call
+        over = [w for w in await owner.inbox.drain(0) if isinstance(w, AttemptOver)]
+        assert [w.attempt for w in over] == [first]
+        tasks.cancel_scope.cancel()
+
+
 async def test_a_cancel_in_hand_when_its_line_ends_is_told_as_cancelled() -> None:
     """Unheard, the attempt was taken for out until its deadline, and the call stood still."""
     owner = Owner()
