--- a/harepick/net/callers.py
+++ b/harepick/net/callers.py
@@ -32,7 +32,7 @@
 WAITING = 4_096  # releases kept for the next connection
 MOST_BAD = 16  # faulty messages taken from one connection; a client that sends the same again is closed
 ENTERING = 4  # connections accepted that the room does not count yet
-AT_ONCE = 32  # messages taken before the other connections have their turn
+AT_ONCE = 8  # messages taken before the others have their turn: a flood must not hold the loop for 0.1 s
 
 
 @dataclass(eq=False, slots=True)
