Force the crossings of the loop's long turn, the full inbox and the silent connection

The test of the mark said that the inbox is full, and it was not: it is now. A wait written as a condition that is never met is a sleep; a set-up out on a line is written once for two tests.

--- a/harepick/net/service.py
+++ b/harepick/net/service.py
@@ -220,7 +220,7 @@
             return min(LONGEST_GRACE, self._longest) + KILL_AFTER - 2 * FLUSH
 
         coming = min(STILL_COMING, grace())
-        await finish(lambda: False, coming)
+        await anyio.sleep(coming)
         closing.set()  # new connections meet the successor, or are refused once none can come any more
         hold = min(LONGEST_HOLD, self._longest) + KILL_AFTER + FLUSH  # a reload may have come with the signal
         # A set-up is taken with its connection: it may still come, or its rest. What the listener took last
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,7 +23,7 @@
 import pytest
 
 from harepick import interface as i
-from harepick.core.inbox import BATCH, Inbox
+from harepick.core.inbox import BATCH, ROOM, Inbox
 from harepick.core.words import Attempt, AttemptOver, CallerGone, Offer, Word
 from harepick.counters import Counters
 from harepick.log import Log
@@ -272,6 +272,8 @@
         running.counted("callers.connections")
         running.process.send_signal(signal.SIGTERM)
         peers.until(lambda: running.events("not_listening"), why="the close of the listener")
+        time.sleep(0.5)  # well past the moment in which a process with nothing under way would leave
+        assert not running.events("drained")
         caller.send(whole[first:])
         server = place.setups[0].accept()
         peers.reply(server, peers.invite(server), 200, b"answer")
@@ -616,11 +618,33 @@
         port = await tasks.start(hub.run)
         sock, _ = await opened(hub, port)
         (offer,) = await hub.words(Offer)
+        while len(hub.inbox) < ROOM:
+            hub.inbox.tell(CallerGone("another"))
         sock.close()
         await met(lambda: offer.caller.gone)
         tasks.cancel_scope.cancel()
 
 
+async def test_an_end_that_lies_unread_in_a_socket_is_heard_before_a_late_set_up_leaves() -> None:
+    """The turn in which the set-up was decided on took long, and its client closed in it."""
+    hub, owner = Hub(), Owner()
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(hub.run)
+        sock, _ = await opened(hub, port)
+        (offer,) = await hub.words(Offer)
+        link, first = await written(owner, tasks)
+        link._lines[0].open.clear()  # answered: the line is free
+        late = attempt("0" * 15 + "2")
+        late.guard = lambda attempt, now: not offer.caller.gone
+        late.placed = time.time() - 0.1
+        sock.close()
+        link.place(late)  # in the same turn
+        await met(lambda: offer.caller.gone)
+        await turns(10)
+        assert first.sent is not None and late.sent is None
+        tasks.cancel_scope.cancel()
+
+
 async def test_a_full_inbox_is_heard_in_batches_and_in_order() -> None:
     """In one go it held the loop for most of a second, and nothing that callers said meanwhile was read."""
     inbox = Inbox()
@@ -645,6 +669,15 @@
         return Address("127.0.0.1", self.listener.getsockname()[1])
 
 
+async def written(owner: Owner, tasks: anyio.abc.TaskGroup) -> tuple[Link, Attempt]:
+    """A link with one line, and a set-up that is out on it."""
+    link = Link(owner, tasks, "s0", owner.address())
+    placed = attempt()
+    link.place(placed)
+    await met(lambda: owner.counters["servers.invites_written"])
+    return link, placed
+
+
 def attempt(call: str = "0" * 15 + "1") -> Attempt:
     request = Request(b"a", b"77", b"offer")
     return Attempt(call, 0, "s0", 0.0, 2e9, request, lambda attempt, now: not attempt.revoked)
@@ -699,10 +732,7 @@
     """Unheard, the attempt was taken for out until its deadline, and the call stood still."""
     owner = Owner()
     async with anyio.create_task_group() as tasks:
-        link = Link(owner, tasks, "s0", owner.address())
-        placed = attempt()
-        link.place(placed)
-        await met(lambda: owner.counters["servers.invites_written"])
+        link, placed = await written(owner, tasks)
         await turns(5)
         placed.revoked = True
         assert link.cancel(placed)
@@ -717,10 +747,7 @@
     """It counted as cancelled while its server still had it: the next attempt would have been a second."""
     owner = Owner()
     async with anyio.create_task_group() as tasks:
-        link = Link(owner, tasks, "s0", owner.address())
-        placed = attempt()
-        link.place(placed)
-        await met(lambda: owner.counters["servers.invites_written"])
+        link, placed = await written(owner, tasks)
         (line,) = link._lines
         while line.outbox.put(b""):
             pass
