Move the calls that stand at a setup server into a module of their own

Cause: connection_pool.py chose connections, judged whether the server lives and kept the dialogs of the standing calls; the count of calls on a connection was kept by hand in ServerConnection and went stale when all calls of a server were cleared.

Change: net/standing_calls.py holds the dialogs and counts the calls of each connection; no decision changes.

--- a/harepick/net/connection_pool.py
+++ b/harepick/net/connection_pool.py
@@ -9,8 +9,6 @@
 from __future__ import annotations
 
 import time
-from collections import OrderedDict
-from dataclasses import dataclass
 from typing import Protocol
 
 import anyio
@@ -23,9 +21,9 @@
 from harepick.directory import Directory
 from harepick.log import Log
 from harepick.net.server_connection import ByeOrder, CancelOrder, Order, ServerConnection
+from harepick.net.standing_calls import StandingCalls
 from harepick.settings import Address
 
-MAX_DIALOGS = 16_384  # standing calls remembered for their release
 MAX_UNSENT_RELEASES = 1_024  # releases kept for the next connection
 MAX_RESPONSIVE_CONNECTIONS = 8  # at this number, set-ups share a connection
 MAX_CONNECTIONS = 16  # quiet ones included
@@ -38,16 +36,6 @@
 CHECK_INTERVAL_S = 0.1  # between checks of the connections
 
 
-@dataclass(slots=True)
-class Dialog:
-    """The SIP dialog of a standing call."""
-
-    number: bytes  # the number called, for the BYE
-    since: float  # when the call was answered
-    # Of the set-up. The server reports the end of the call there, if that connection is still open.
-    connection: ServerConnection
-
-
 class PoolOwner(Protocol):
     """What a pool needs of its owner; times in seconds."""
 
@@ -69,7 +57,7 @@
         self.owner = owner
         self.server = server
         self.address = address
-        self.standing: OrderedDict[str, Dialog] = OrderedDict()
+        self.standing = StandingCalls()
         self.last_heard = time.time()  # when anything but a refusal last came from the server
         self.latest_answered_sent_at = 0.0  # when the latest of the set-ups answered so far was sent
         self.server_gone = False  # the server list has marked the server as gone
@@ -146,20 +134,6 @@
             connection.outbox.put(bye)
         self._unsent_releases.clear()
 
-    def call_stands(self, call: str, number: bytes, connection: ServerConnection) -> None:
-        """A call set up on this connection stands."""
-        self.end_call(call)
-        self.standing[call] = Dialog(number, time.time(), connection)
-        connection.standing_calls += 1
-        if len(self.standing) > MAX_DIALOGS:
-            self.end_call(next(iter(self.standing)))
-
-    def end_call(self, call: str) -> Dialog | None:
-        """Removes a standing call and returns its dialog; None if it did not stand."""
-        if dialog := self.standing.pop(call, None):
-            dialog.connection.standing_calls -= 1
-        return dialog
-
     def connection_ended(self, connection: ServerConnection) -> None:
         """A connection has ended: the set-ups open on it are given up, and those not yet sent go to
         another one if there is any."""
@@ -245,8 +219,7 @@
             for connection in self._connections:
                 connection.close("moved")
         elif entry.started > 0:  # a restart: older connections belong to the previous process
-            for call in [c for c, dialog in self.standing.items() if dialog.since < entry.started]:
-                self.end_call(call)
+            self.standing.end_answered_before(entry.started)
             for connection in self._connections:
                 if 0 < connection.last_heard < entry.started:
                     connection.close("half_open")
--- a/harepick/net/server_connection.py
+++ b/harepick/net/server_connection.py
@@ -21,6 +21,7 @@
 from harepick.net import sip
 from harepick.net.outbox import Outbox
 from harepick.net.setups import Request
+from harepick.net.standing_calls import Dialog
 
 if TYPE_CHECKING:
     from harepick.net.connection_pool import ConnectionPool
@@ -86,7 +87,6 @@
         self.outbox: Outbox[Order] = Outbox()
         self.open_attempts: dict[str, Attempt] = {}  # oldest first
         self._cancelled: OrderedDict[str, bytes] = OrderedDict()  # call -> number called
-        self.standing_calls = 0  # calls set up here that stand
         self.connected = False
         self.received_data = False
         self.failed_locally = False  # for lack of local resources; the server may be alive
@@ -106,7 +106,12 @@
 
         A server reports the end of a call on the connection of its set-up; a report in transit when that
         connection is closed is lost."""
-        return self.connected and not self.load and not self.outbox.in_flight and not self.standing_calls
+        return (
+            self.connected
+            and not self.load
+            and not self.outbox.in_flight
+            and not self._pool.standing.count_on(self)
+        )
 
     def is_quiet(self, now: float) -> bool:
         """Whether a set-up is open and nothing was received for QUIET_AFTER_S: the server is slow, or the
@@ -226,7 +231,7 @@
             case "BYE":
                 self._add_to_counter("servers.releases")
                 self._enqueue(sip.response(message, 200, b"OK"))
-                self._pool.end_call(message.call)
+                self._pool.standing.end(message.call)
                 self._report(
                     CallOver(message.call, self._pool.server, sip.release_cause(message) == CAUSE_CUT)
                 )
@@ -261,8 +266,8 @@
             number = request_of(self.open_attempts[call]).number
         elif call in self._cancelled:
             number = self._cancelled.pop(call)
-        elif call in standing:
-            number = standing[call].number
+        elif dialog := standing.get(call):
+            number = dialog.number
         else:
             self._add_to_counter("servers.unknown_answers")
             return
@@ -274,7 +279,7 @@
             return
         attempt = self.open_attempts.pop(call, None)
         if message.status < 300:
-            if attempt is None and call in standing:
+            if attempt is None and standing.get(call):
                 self._add_to_counter("servers.copies")
                 return
             # Not for a refusal, which may overtake the set-ups queued at the server.
@@ -283,7 +288,7 @@
                     self._pool.latest_answered_sent_at, attempt.sent or 0.0
                 )
             self._add_to_counter("servers.answers")
-            self._pool.call_stands(call, number, self)
+            standing.add(call, Dialog(number, time.time(), self))
             attempt_number = -1 if attempt is None else attempt.number
             self._report(Answered(call, attempt_number, self._pool.server, message.body))
         elif attempt is not None:
@@ -342,7 +347,7 @@
         if isinstance(order, bytes):
             return order
         if isinstance(order, ByeOrder):
-            if dialog := self._pool.end_call(order.call):
+            if dialog := self._pool.standing.end(order.call):
                 order.number = dialog.number
             if not order.number:
                 return None  # the call has ended meanwhile
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -15,6 +15,7 @@
 from harepick.net import sip
 from harepick.net.connection_pool import FAILURE_CONFIRM_S, SERVER_SILENCE_S, ConnectionPool
 from harepick.net.server_connection import ServerConnection
+from harepick.net.standing_calls import Dialog
 from harepick.settings import Address
 
 pytestmark = pytest.mark.anyio
@@ -44,7 +45,7 @@
     connection = ServerConnection(pool)
     connection.connected = True
     pool._connections.append(connection)
-    pool.call_stands("c1", b"77", connection)
+    pool.standing.add("c1", Dialog(b"77", time.time(), connection))
     pool.last_heard = time.time() - SERVER_SILENCE_S - 1.0
     return pool, owner, connection
 
