Receive the releases of calls whose connection to their server has fallen quiet

Cause: ConnectionPool._check measured silence for the server as a whole (last_heard of the pool). While any connection was heard, nothing looked at a connection on which calls stand, and the server, which repeats a release on the next connection opened, was given none.

Change: when a connection with standing calls has been silent for 5 s and no other was opened meanwhile, one is opened, and again each 5 s while calls stand there. At our limit of connections, or a refusal by the server, the idle connection silent longest makes room.

--- a/harepick/net/connection_pool.py
+++ b/harepick/net/connection_pool.py
@@ -2,9 +2,13 @@
 
 Chooses the connection of every order, and decides whether the server has died. A set-up goes out
 on a connection with nothing else open if there is one: a connection with a malformed or missing answer
-is closed, and every set-up open on it is lost. A standing call belongs to no connection, so a closed one is
-opened again at once to learn of the call's end. A server counts as dead only if it accepts no new
-connection: a connection may also be reset while the server process goes on running."""
+is closed, and every set-up open on it is lost.
+
+A standing call belongs to no connection: the server sends its release on the connection of its set-up, or
+else on any open one, and also on the next one opened. One is therefore opened at once if none is open, and
+each time a connection with standing calls has been silent for a while, however much comes on others. A server
+counts as dead only if it accepts no new connection: a connection may also be reset while the server process
+goes on running."""
 
 from __future__ import annotations
 
@@ -28,6 +32,10 @@
 MAX_RESPONSIVE_CONNECTIONS = 8  # at this number, set-ups share a connection
 MAX_CONNECTIONS = 16  # quiet ones included
 SPARE_CONNECTION_KEEP_S = 3.0  # how long an unused connection beside others is kept
+# After this silence of a connection with standing calls, another one is opened to receive their releases.
+# The platform allows 8 s from the end of a call: the rest is for a connection that fails or opens late.
+RELEASE_CHECK_S = 5.0
+RELEASE_CHECK_RETRY_S = 1.0  # between connections opened to receive releases
 SERVER_SILENCE_S = 2.0  # with anything open, a server silent for this long may have failed with its machine
 # Two failures to connect at least this far apart, with no activity between, mean that the server has died.
 FAILURE_CONFIRM_S = 0.2
@@ -64,6 +72,8 @@
         self._tasks = tasks
         self._connections: list[ServerConnection] = []  # oldest first
         self._unsent_releases: list[ByeOrder] = []
+        # When the latest connection that came up began to be opened: earlier releases were repeated there.
+        self._releases_repeated_at = 0.0
         self._first_failure_at = 0.0  # of a connection, since the server was last heard
         self._next_connect_at = 0.0  # earliest time of the next connection for standing calls or for a check
         self._connections_without_data = 0
@@ -111,12 +121,7 @@
             return max(free, key=lambda connection: connection.last_heard).outbox.put(order)
         if isinstance(order, ByeOrder) and responsive:
             return min(responsive, key=lambda connection: connection.load).outbox.put(order)
-        may_open = (
-            len(responsive) < MAX_RESPONSIVE_CONNECTIONS
-            and len(self._connections) < MAX_CONNECTIONS
-            and self.owner.may_connect
-        )
-        if may_open or not self._connections:
+        if not self._connections or (len(responsive) < MAX_RESPONSIVE_CONNECTIONS and self._may_open):
             self._open_connection(order)
             return True
         return min(responsive or self._connections, key=lambda connection: connection.load).outbox.put(order)
@@ -129,7 +134,10 @@
     # Events of connections
 
     def connection_opened(self, connection: ServerConnection) -> None:
-        """A connection is open: the releases kept for it are queued there."""
+        """A connection is open: the releases kept for it are queued there.
+
+        The server repeats there its own releases that were not confirmed."""
+        self._releases_repeated_at = max(self._releases_repeated_at, connection.created_at)
         for bye in self._unsent_releases:
             connection.outbox.put(bye)
         self._unsent_releases.clear()
@@ -187,7 +195,10 @@
             any(connection.connected for connection in self._connections)
             and now - self.last_heard < SERVER_SILENCE_S
         ):
-            return  # the server accepts no more connections, but is alive
+            # The server accepts no more connections, but is alive.
+            if self._may_miss_releases(now):
+                self._close_idle_connection()  # makes room; its calls are released on another one
+            return
         # A failure is the first one if the server has been heard since the one before. An opened connection
         # does not count as heard: the kernel of a machine may accept a few after its processes have ended.
         is_first_failure = self._first_failure_at <= self.last_heard
@@ -242,21 +253,58 @@
             ):
                 connection.close("spare_lines")
                 return  # one at a time, so that the last one is kept
+        if now < self._next_connect_at:
+            return
         if not self._connections:
-            if (self.standing or self._unsent_releases) and now >= self._next_connect_at:
+            if self.standing or self._unsent_releases:
                 self._next_connect_at = now + FAILURE_CONFIRM_S
                 self._open_connection()
-        elif self._has_work and now - self.last_heard >= SERVER_SILENCE_S and now >= self._next_connect_at:
-            # A machine that has failed sends no data and no resets, and accepts no connection: only an
-            # attempt to connect shows that its calls are over. The platform requires that their callers are
-            # told within 8 s.
-            self._next_connect_at = now + (
-                SERVER_SILENCE_S if self._first_failure_at <= self.last_heard else FAILURE_CONFIRM_S
-            )
-            if len(self._connections) >= MAX_CONNECTIONS or not self.owner.may_connect:
-                self._connections[0].close("spare_lines")  # all of them are silent
-            self.owner.counters.add("servers.checks")
-            self._open_connection()
+        elif self._has_work and now - self.last_heard >= SERVER_SILENCE_S:
+            self._check_server(now)
+        elif self._may_miss_releases(now):
+            self._open_for_releases(now)
+
+    def _check_server(self, now: float) -> None:
+        """Opens a connection to see whether the server, which is silent, is alive.
+
+        A machine that has failed sends no data and no resets, and accepts no connection: only an attempt to
+        connect shows that its calls are over. The platform requires their callers to be told within 8 s."""
+        self._next_connect_at = now + (
+            SERVER_SILENCE_S if self._first_failure_at <= self.last_heard else FAILURE_CONFIRM_S
+        )
+        if not self._may_open:
+            self._connections[0].close("spare_lines")  # all of them are silent
+        self.owner.counters.add("servers.checks")
+        self._open_connection()
+
+    def _may_miss_releases(self, now: float) -> bool:
+        """Whether the release of a call may have been sent on a connection that did not deliver it."""
+        oldest_heard = self.standing.oldest_heard()
+        if oldest_heard is None:
+            return False
+        return now - max(oldest_heard, self._releases_repeated_at) >= RELEASE_CHECK_S
+
+    def _open_for_releases(self, now: float) -> None:
+        """Opens a connection, on which the server repeats the releases that were not confirmed.
+
+        At the limit of connections, an idle one is closed first; the next check opens the new one."""
+        if not self._may_open:
+            self._close_idle_connection()
+            return
+        self._next_connect_at = now + RELEASE_CHECK_RETRY_S
+        self.owner.counters.add("servers.release_checks")
+        self._open_connection()
+
+    def _close_idle_connection(self) -> None:
+        """Closes the idle connection that has been silent longest; not the only connection."""
+        idle = [connection for connection in self._connections if connection.idle]
+        if idle and len(self._connections) > 1:
+            min(idle, key=lambda connection: connection.last_heard).close("spare_lines")
+
+    @property
+    def _may_open(self) -> bool:
+        """Whether the limits of this pool and of its owner allow another connection."""
+        return len(self._connections) < MAX_CONNECTIONS and self.owner.may_connect
 
     @property
     def _has_work(self) -> bool:
--- a/harepick/net/server_connection.py
+++ b/harepick/net/server_connection.py
@@ -87,6 +87,7 @@
         self.outbox: Outbox[Order] = Outbox()
         self.open_attempts: dict[str, Attempt] = {}  # oldest first
         self._cancelled: OrderedDict[str, bytes] = OrderedDict()  # call -> number called
+        self.created_at = time.time()
         self.connected = False
         self.received_data = False
         self.failed_locally = False  # for lack of local resources; the server may be alive
@@ -100,18 +101,18 @@
         """Set-ups open here and orders queued."""
         return len(self.open_attempts) + len(self.outbox)
 
+    @property
+    def idle(self) -> bool:
+        """Whether it is open, and neither an order nor a set-up is open or queued here."""
+        return self.connected and not self.load and not self.outbox.in_flight
+
     @property
     def unused(self) -> bool:
         """Whether it can be closed without loss.
 
         A server reports the end of a call on the connection of its set-up; a report in transit when that
         connection is closed is lost."""
-        return (
-            self.connected
-            and not self.load
-            and not self.outbox.in_flight
-            and not self._pool.standing.count_on(self)
-        )
+        return self.idle and not self._pool.standing.count_on(self)
 
     def is_quiet(self, now: float) -> bool:
         """Whether a set-up is open and nothing was received for QUIET_AFTER_S: the server is slow, or the
--- a/harepick/net/standing_calls.py
+++ b/harepick/net/standing_calls.py
@@ -65,6 +65,13 @@
         self._dialogs.clear()
         self._calls_by_connection.clear()
 
+    def oldest_heard(self) -> float | None:
+        """Returns when the connection that has been silent longest last received anything, clock time in
+        seconds; None if no call stands.
+
+        Considers the connections on which the calls were set up, those that have ended included."""
+        return min((connection.last_heard for connection in self._calls_by_connection), default=None)
+
     def count_on(self, connection: ServerConnection) -> int:
         """Returns how many calls stand that were set up on this connection."""
         return self._calls_by_connection[connection]
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -13,7 +13,7 @@
 from harepick.counters import Counters
 from harepick.log import Log
 from harepick.net import sip
-from harepick.net.connection_pool import FAILURE_CONFIRM_S, SERVER_SILENCE_S, ConnectionPool
+from harepick.net.connection_pool import FAILURE_CONFIRM_S, RELEASE_CHECK_S, SERVER_SILENCE_S, ConnectionPool
 from harepick.net.server_connection import ServerConnection
 from harepick.net.standing_calls import Dialog
 from harepick.settings import Address
@@ -90,3 +90,52 @@
     for call in ("c2", "c3", "c4"):
         assert pool.place(Attempt(call, 0, "s0", 0.0, 1.0, None, lambda attempt, now: True))
     assert pool.connection_count == 1 and connection.load == 3
+
+
+class RecordingTasks:
+    """Stands in for a task group; counts the connections that a pool begins to open."""
+
+    def __init__(self) -> None:
+        self.opened = 0
+
+    def start_soon(self, *_: object) -> None:
+        self.opened += 1
+
+
+async def test_at_the_limit_a_quiet_connection_with_calls_is_replaced() -> None:
+    """The server repeats on the next connection what it could not deliver; there has to be room for it."""
+    pool, owner, quiet = pool_with_standing_call()
+    tasks = RecordingTasks()
+    pool._tasks = cast(TaskGroup, tasks)
+    lively = ServerConnection(pool)
+    lively.connected, owner.may_connect = True, False
+    pool._connections.append(lively)
+    now = pool.last_heard = lively.last_heard = time.time()
+    quiet.last_heard = now - RELEASE_CHECK_S + 0.1
+    pool._check(now)
+    assert not quiet.scope.cancel_called and tasks.opened == 0
+    pool._check(now + 0.1)
+    assert quiet.scope.cancel_called and not lively.scope.cancel_called and tasks.opened == 0
+    pool.connection_ended(quiet)
+    owner.may_connect = True
+    pool._check(now + 0.2)
+    assert tasks.opened == 1 and owner.counters["servers.release_checks"] == 1
+
+
+async def test_releases_are_expected_again_after_each_silence() -> None:
+    """A call that goes on after one check may end unheard before the next."""
+    pool, _owner, connection = pool_with_standing_call()
+    tasks = RecordingTasks()
+    pool._tasks = cast(TaskGroup, tasks)
+    now = pool.last_heard = time.time()
+    connection.last_heard = now - RELEASE_CHECK_S
+    pool._check(now)
+    assert tasks.opened == 1
+    latest = pool._connections[-1]
+    latest.connected, latest.created_at, latest.last_heard = True, now, now
+    pool.connection_opened(latest)
+    pool.connection_ended(latest)  # closed as spare
+    for after, opened in ((1.5, 1), (RELEASE_CHECK_S - 0.1, 1), (RELEASE_CHECK_S + 0.1, 2)):
+        pool.last_heard = now + after
+        pool._check(now + after)
+        assert tasks.opened == opened, after
--- /dev/null
+++ b/tests/test_quiet_connections.py
@@ -0,0 +1,88 @@
+"""Connections to a setup server that fall quiet or end while calls stand on them.
+
+The server sends the release of a call on the connection of its set-up, or else on any open one, and also on
+the next one opened. Other connections stay in use here, so that the server as a whole is never silent."""
+
+from __future__ import annotations
+
+import socket
+import time
+from contextlib import suppress
+
+from harepick.net import binary, sip
+from tests import peers
+
+NUMBER = b"7f3a9c21e0b4d655"
+LIMIT_WITHOUT_RELEASE_S = 8.0  # from the end of a call to its caller's release, if the server could send none
+
+
+def set_up_two_calls(platform: peers.Platform, caller: peers.Caller) -> list[tuple[bytes, peers.Peer]]:
+    """Sets up two calls at once, so that each stands on a connection of its own; returns both with the
+    server's end of their connection."""
+    calls = {call.hex(): call for call in (caller.call(), caller.call())}
+    connections = [platform.servers[0].accept() for _ in calls]
+    standing = []
+    for connection in connections:
+        invite = peers.invite(connection)
+        peers.reply(connection, invite, 200, b"answer")
+        standing.append((calls[invite.call], connection))
+    assert {caller.final_answer(call).type for call in calls.values()} == {binary.ANSWER}
+    return standing
+
+
+def next_connection(server: peers.SetupServer, lively: peers.Peer, within: float) -> peers.Peer:
+    """Returns the next connection of the program; until it comes, the server goes on sending on `lively`."""
+    end = time.monotonic() + within
+    while time.monotonic() < end:
+        lively.send(sip.request("OPTIONS", b"ping", "0" * 16, 1))
+        with suppress(TimeoutError):
+            return server.accept(within=0.2)
+    raise AssertionError(f"no connection within {within} s")
+
+
+# Guards against: a call ended by its server on a connection that fell quiet, never told to its caller.
+def test_calls_on_a_quiet_connection_are_released_while_another_is_in_use() -> None:
+    platform = peers.Platform()
+    server = platform.servers[0]
+    with platform.run() as running:
+        caller = peers.Caller(platform.port)
+        (call, _quiet), (_, lively) = set_up_two_calls(platform, caller)
+        next_connection(server, lively, LIMIT_WITHOUT_RELEASE_S)  # the call has not ended yet
+        ended_at = time.monotonic()
+        connection = next_connection(server, lively, LIMIT_WITHOUT_RELEASE_S)
+        connection.send(sip.bye(NUMBER, call.hex(), 7, 16))
+        release = caller.next(lambda m: m.type == binary.RELEASE, within=1.0)
+        assert time.monotonic() - ended_at < LIMIT_WITHOUT_RELEASE_S
+        assert (release.call, release.parameters[binary.CAUSE]) == (call, bytes([16]))
+        counters = running.counters()
+        assert counters["servers.release_checks"] == 2 and "servers.checks" not in counters
+
+
+# Guards against: calls on a quiet connection, forgotten at a server that refuses a further connection.
+def test_quiet_connection_makes_room_at_a_server_that_refuses_another() -> None:
+    platform = peers.Platform()
+    server = platform.servers[0]
+    with platform.run():
+        caller = peers.Caller(platform.port)
+        (call, quiet), (_, lively) = set_up_two_calls(platform, caller)
+        address = server.listener.getsockname()
+        server.listener.close()
+        ended_at = time.monotonic()
+        while not is_closed(quiet):
+            assert time.monotonic() - ended_at < LIMIT_WITHOUT_RELEASE_S
+            lively.send(sip.request("OPTIONS", b"ping", "0" * 16, 1))
+        server.listener = socket.create_server(address)
+        next_connection(server, lively, 2.0).send(sip.bye(NUMBER, call.hex(), 7, 16))
+        release = caller.next(lambda m: m.type == binary.RELEASE, within=1.0)
+        assert time.monotonic() - ended_at < LIMIT_WITHOUT_RELEASE_S
+        assert (release.call, release.parameters[binary.CAUSE]) == (call, bytes([16]))
+
+
+def is_closed(peer: peers.Peer) -> bool:
+    """Reads for 0.2 s; returns whether the program has closed the connection."""
+    with suppress(AssertionError):
+        try:
+            peer.next(lambda _: False, within=0.2)
+        except EOFError:
+            return True
+    return False
