Receive again the releases that were lost with a failed connection beside others

Callers saw: a connection to a server is reset with the release of a call in transit, another one is open: the caller was not told, as nothing made the server repeat the release.

Change: a connection with standing calls that ends otherwise than by the server's close is noted, and the next check opens another. After the server's own close all that it sent has been received. A connection counts only if its opening began after the failure.

--- a/harepick/net/connection_pool.py
+++ b/harepick/net/connection_pool.py
@@ -5,10 +5,10 @@
 is closed, and every set-up open on it is lost.
 
 A standing call belongs to no connection: the server sends its release on the connection of its set-up, or
-else on any open one, and also on the next one opened. One is therefore opened at once if none is open, and
-each time a connection with standing calls has been silent for a while, however much comes on others. A server
-counts as dead only if it accepts no new connection: a connection may also be reset while the server process
-goes on running."""
+else on any open one, and also on the next one opened. One is therefore opened whenever a release may have
+been lost: as soon as a connection with standing calls has failed, and each time such a connection has been
+silent for a while, however much comes on others. A server counts as dead only if it accepts no new
+connection: a connection may also be reset while the server process goes on running."""
 
 from __future__ import annotations
 
@@ -74,6 +74,7 @@
         self._unsent_releases: list[ByeOrder] = []
         # When the latest connection that came up began to be opened: earlier releases were repeated there.
         self._releases_repeated_at = 0.0
+        self._release_lost_at = 0.0  # when a connection with standing calls failed, perhaps with a release
         self._first_failure_at = 0.0  # of a connection, since the server was last heard
         self._next_connect_at = 0.0  # earliest time of the next connection for standing calls or for a check
         self._connections_without_data = 0
@@ -154,6 +155,9 @@
                 "lines": len(self._connections),
             }
             self.owner.log.event("closed", server=self.server, **counts)
+        if connection.connected and not connection.closed_by_server and self.standing.count_on(connection):
+            self._release_lost_at = time.time()
+            self._next_connect_at = min(self._next_connect_at, self._release_lost_at + FAILURE_CONFIRM_S)
         for attempt in connection.open_attempts.values():
             report(AttemptOver(attempt, interface.Outcome.RESET))
         self._connections_without_data = 0 if connection.received_data else self._connections_without_data + 1
@@ -282,7 +286,10 @@
         oldest_heard = self.standing.oldest_heard()
         if oldest_heard is None:
             return False
-        return now - max(oldest_heard, self._releases_repeated_at) >= RELEASE_CHECK_S
+        return (
+            self._release_lost_at > self._releases_repeated_at
+            or now - max(oldest_heard, self._releases_repeated_at) >= RELEASE_CHECK_S
+        )
 
     def _open_for_releases(self, now: float) -> None:
         """Opens a connection, on which the server repeats the releases that were not confirmed.
--- a/harepick/net/server_connection.py
+++ b/harepick/net/server_connection.py
@@ -90,6 +90,7 @@
         self.created_at = time.time()
         self.connected = False
         self.received_data = False
+        self.closed_by_server = False  # after everything that the server had sent here was received
         self.failed_locally = False  # for lack of local resources; the server may be alive
         self.last_heard = 0.0  # when it last received anything, or was opened
         self.scope = anyio.CancelScope()
@@ -213,7 +214,10 @@
                     partial_since = self.last_heard
                 elif self.last_heard - partial_since > 2 * PARTIAL_MESSAGE_TIMEOUT_S:
                     raise sip.SipError("message takes too long to complete")
-            except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            except anyio.EndOfStream:
+                self.closed_by_server = not decoder.pending
+                return
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
                 return
             except sip.SipError as error:
                 self._add_to_counter("servers.malformed")
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -13,7 +13,13 @@
 from harepick.counters import Counters
 from harepick.log import Log
 from harepick.net import sip
-from harepick.net.connection_pool import FAILURE_CONFIRM_S, RELEASE_CHECK_S, SERVER_SILENCE_S, ConnectionPool
+from harepick.net.connection_pool import (
+    CHECK_INTERVAL_S,
+    FAILURE_CONFIRM_S,
+    RELEASE_CHECK_S,
+    SERVER_SILENCE_S,
+    ConnectionPool,
+)
 from harepick.net.server_connection import ServerConnection
 from harepick.net.standing_calls import Dialog
 from harepick.settings import Address
@@ -139,3 +145,21 @@
         pool.last_heard = now + after
         pool._check(now + after)
         assert tasks.opened == opened, after
+
+
+@pytest.mark.parametrize(("closed_by_server", "opened"), [(False, 1), (True, 0)])
+async def test_a_failed_connection_with_calls_is_replaced_at_once(
+    closed_by_server: bool, opened: int
+) -> None:
+    """After a close by the server, everything that it had sent has been received."""
+    pool, _owner, failed = pool_with_standing_call()
+    tasks = RecordingTasks()
+    pool._tasks = cast(TaskGroup, tasks)
+    lively = ServerConnection(pool)
+    lively.connected = True
+    pool._connections.append(lively)
+    now = pool.last_heard = lively.last_heard = failed.last_heard = time.time()
+    failed.closed_by_server = closed_by_server
+    pool.connection_ended(failed)
+    pool._check(now + CHECK_INTERVAL_S)
+    assert tasks.opened == opened
