End a drain only when no set-up waits in the inbox, so that none is refused there

Callers: at a planned restart, a set-up whose end came while the process waited only for it was refused, though there was time to serve it.

Cause: PlatformFront._drain ends when no call is open and no connection is in the middle of a message. From the end of the reader's message to the engine's next batch, 3 ms, the set-up is in neither: it lies in the inbox. Trace of a failing run: last piece sent at 1082.147, event drained at 1082.148, then answers.closing 1, exit code 0.

Change: Engine.idle is true only with an empty inbox. What the engine takes out it processes before any other task runs, so no set-up is outside of both. The ENUM front's drain and its retiring engines ask the same property.

--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -90,8 +90,8 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no call is open."""
-        return len(self._calls) == 0
+        """Whether no call is open, and no message waits that could open one."""
+        return len(self._calls) == 0 and len(self._inbox) == 0
 
     def __len__(self) -> int:
         """Open calls: unanswered, with an open attempt, or standing."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,9 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
+from pathlib import Path
 from typing import Any
+from unittest.mock import MagicMock
 
 import anyio
 import anyio.abc
@@ -24,6 +26,7 @@
 import pytest
 
 from harepick import interface
+from harepick.core.engine import Engine
 from harepick.core.inbox import DEFAULT_CAPACITY, MAX_BATCH_MESSAGES, Inbox
 from harepick.core.messages import Attempt, AttemptOver, CallerGone, Message, Offer
 from harepick.counters import Counters
@@ -33,8 +36,9 @@
 from harepick.net.callers import Callers
 from harepick.net.connection_limits import CallerConnection, CallerMessage
 from harepick.net.connection_pool import ConnectionPool
+from harepick.net.service import ACCEPT_AFTER_SIGTERM_S, PlatformFront
 from harepick.net.setups import Request
-from harepick.settings import Address
+from harepick.settings import Address, read_platform
 from tests import peers
 from tests.test_platform import establish_call
 
@@ -297,6 +301,23 @@
         assert running.process.wait(8) == 0
 
 
+async def test_drain_waits_for_a_set_up_in_the_inbox(tmp_path: Path) -> None:
+    """Regression: a set-up that was read, and not yet processed by the core, was refused as too late."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(peers.Platform().config))
+    front = PlatformFront(read_platform({"GW_CONFIG": str(path)}), {}, Counters(), Log(fd=1))
+    inbox, counters, servers = Inbox(), Counters(), MagicMock(pending_writes=0)
+    engine = Engine(front._config.settings, 1, servers, inbox, counters, Log(fd=1))
+    callers = MagicMock(receiving=False, pending_writes=0)
+    inbox.put_nowait(Offer("0" * 16, "a", 0, None, time.time() + 9.0, MagicMock(gone=False), None))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(front._drain, engine, callers, servers, anyio.Event())
+        await anyio.sleep(ACCEPT_AFTER_SIGTERM_S + 0.5)
+        engine.process(await inbox.drain(0))
+        assert (counters["calls.taken"], counters["answers.closing"]) == (1, 0)
+        tasks.cancel_scope.cancel()
+
+
 def set_up(call: bytes) -> bytes:
     fields = {binary.CLASS: b"a", binary.NUMBER: b"77", binary.DESCRIPTION: b"offer"}
     fields[binary.ATTRIBUTES] = b"dest:0"
