Pass a release on to an open connection when the one that it was queued on ends

Cause: ConnectionPool.connection_ended passed set-ups on to other connections, releases to a list that only a newly opened connection empties; _check opens one for it only if none is open.

Change: the release goes to the open connection heard last; only without one it is kept.

Measured: test_release_queued_on_a_failed_connection_goes_out_on_another_open_one, red without the change; pool, quiet connections and crossings pass.

--- a/harepick/net/connection_pool.py
+++ b/harepick/net/connection_pool.py
@@ -165,7 +165,7 @@
             if isinstance(order, CancelOrder):
                 report(AttemptOver(order.attempt, interface.Outcome.CANCELLED))
             elif isinstance(order, ByeOrder):
-                self._keep_release(order)
+                self._pass_on_release(order)
             elif isinstance(order, Attempt) and order.sent is None and not order.ended:
                 others = [other for other in self._connections if other.connected]
                 if others and not self.server_gone:
@@ -181,7 +181,11 @@
         if not connection.connected and not self.server_gone and not connection.failed_locally:
             self._connection_failed()
 
-    def _keep_release(self, bye: ByeOrder) -> None:
+    def _pass_on_release(self, bye: ByeOrder) -> None:
+        """Queues a release on the connection heard last, or keeps it for the next one."""
+        connected = [connection for connection in self._connections if connection.connected]
+        if connected and max(connected, key=lambda each: each.last_heard).outbox.put(bye):
+            return
         if len(self._unsent_releases) < MAX_UNSENT_RELEASES:
             self._unsent_releases.append(bye)
         else:
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -20,7 +20,7 @@
     SERVER_SILENCE_S,
     ConnectionPool,
 )
-from harepick.net.server_connection import ServerConnection
+from harepick.net.server_connection import ByeOrder, ServerConnection
 from harepick.net.standing_calls import Dialog
 from harepick.settings import Address
 
@@ -163,3 +163,15 @@
     pool.connection_ended(failed)
     pool._check(now + CHECK_INTERVAL_S)
     assert tasks.opened == opened
+
+
+async def test_release_queued_on_a_failed_connection_goes_out_on_another_open_one() -> None:
+    """It was kept for the next connection, though another one was open."""
+    pool, _owner, failed = pool_with_standing_call()
+    lively = ServerConnection(pool)
+    lively.connected = True
+    pool._connections.append(lively)
+    release = ByeOrder("c1")
+    assert failed.outbox.put(release)
+    pool.connection_ended(failed)
+    assert lively.outbox.take() == [release]
