Send a release to a server once more when it went out on a connection that fell quiet

Change: a BYE is remembered until it is answered, or anything comes 0.25 s after it or later (the answer is optional). After 5 s of silence of its connection, if another was heard or opened later, it goes out once more there; at the end of its connection at once. At most twice in all, at most 1,024 remembered per connection, none for a server that has died or gone. New counter servers.releases_repeated.

Measured: two of the new tests (real program; pool alone) are red with the change taken out, green with it; pool, quiet connections, crossings, platform: 97 passed.

--- a/harepick/net/connection_pool.py
+++ b/harepick/net/connection_pool.py
@@ -24,7 +24,13 @@
 from harepick.counters import Counters
 from harepick.directory import Directory
 from harepick.log import Log
-from harepick.net.server_connection import ByeOrder, CancelOrder, Order, ServerConnection
+from harepick.net.server_connection import (
+    RELEASE_REPEAT_S,
+    ByeOrder,
+    CancelOrder,
+    Order,
+    ServerConnection,
+)
 from harepick.net.standing_calls import StandingCalls
 from harepick.settings import Address
 
@@ -178,9 +184,18 @@
                     self._open_connection(order)
                 else:
                     report(AttemptOver(order, interface.Outcome.UNREACHED))
+        if not self.server_gone:
+            for release in connection.take_unconfirmed_releases(time.time()):
+                self._repeat_release(release)
         if not connection.connected and not self.server_gone and not connection.failed_locally:
             self._connection_failed()
 
+    def _repeat_release(self, release: ByeOrder) -> None:
+        """Sends again a release that the server may not have received."""
+        release.repeated = True
+        self.owner.counters.add("servers.releases_repeated")
+        self._pass_on_release(release)
+
     def _pass_on_release(self, bye: ByeOrder) -> None:
         """Queues a release on the connection heard last, or keeps it for the next one."""
         connected = [connection for connection in self._connections if connection.connected]
@@ -221,6 +236,7 @@
         self._unsent_releases.clear()
         self._first_failure_at = 0.0
         for connection in self._connections:
+            connection.take_unconfirmed_releases(now)  # its calls have ended
             connection.scope.cancel()
         self.owner.inbox.put_nowait(ServerDied(self.server, now))
 
@@ -261,6 +277,7 @@
             ):
                 connection.close("spare_lines")
                 return  # one at a time, so that the last one is kept
+        self._repeat_unconfirmed_releases(now)
         if now < self._next_connect_at:
             return
         if not self._connections:
@@ -272,6 +289,17 @@
         elif self._may_miss_releases(now):
             self._open_for_releases(now)
 
+    def _repeat_unconfirmed_releases(self, now: float) -> None:
+        """Sends again the releases that went out on a connection that has been silent since, if another one
+        was heard or opened later: the server may be slow, but that connection may also be dead."""
+        for connection in self._connections:
+            others_heard_at = max(
+                (other.last_heard for other in self._connections if other is not connection), default=0.0
+            )
+            sent_before = min(now - RELEASE_REPEAT_S, others_heard_at)
+            for release in connection.take_unconfirmed_releases(sent_before):
+                self._repeat_release(release)
+
     def _check_server(self, now: float) -> None:
         """Opens a connection to see whether the server, which is silent, is alive.
 
--- a/harepick/net/server_connection.py
+++ b/harepick/net/server_connection.py
@@ -46,6 +46,10 @@
 SEND_TIMEOUT_S = 2.0  # a server that reads nothing for this long has its connection closed
 # Errors that tell of a lack of resources in this process or machine.
 LOCAL_RESOURCE_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+MAX_UNCONFIRMED_RELEASES = 1_024  # releases whose confirmation may still come
+# A release on a connection that has been silent for this long since is sent again on another one. At a busy
+# server the confirmation waits behind set-ups.
+RELEASE_REPEAT_S = 5.0
 MAX_CANCELLED = 4_096  # cancelled set-ups whose answer may still come
 PARTIAL_MESSAGE_TIMEOUT_S = 0.25  # a message not completed in this time is considered truncated
 QUIET_AFTER_S = 0.25  # with a set-up open, silence for this long may mean that the connection is dead
@@ -72,6 +76,8 @@
     # Number called, kept from the dialog when the BYE is first encoded: it may have to be sent again on
     # another connection.
     number: bytes = b""
+    sent_at: float = 0.0  # when it was last sent, clock time in seconds
+    repeated: bool = False  # it is sent twice at most
 
 
 # What is queued for the connection; bytes are responses and acknowledgements.
@@ -86,6 +92,7 @@
         self._add_to_counter = pool.owner.counters.add
         self.outbox: Outbox[Order] = Outbox()
         self.open_attempts: dict[str, Attempt] = {}  # oldest first
+        self._unconfirmed_releases: OrderedDict[str, ByeOrder] = OrderedDict()  # oldest first
         self._cancelled: OrderedDict[str, bytes] = OrderedDict()  # call -> number called
         self.created_at = time.time()
         self.connected = False
@@ -113,7 +120,7 @@
 
         A server reports the end of a call on the connection of its set-up; a report in transit when that
         connection is closed is lost."""
-        return self.idle and not self._pool.standing.count_on(self)
+        return self.idle and not self._unconfirmed_releases and not self._pool.standing.count_on(self)
 
     def is_quiet(self, now: float) -> bool:
         """Whether a set-up is open and nothing was received for QUIET_AFTER_S: the server is slow, or the
@@ -133,6 +140,21 @@
             and (first.sent or now) + MIN_OVERTAKING_S < latest_answered_sent_at
         )
 
+    def take_unconfirmed_releases(self, sent_before: float) -> list[ByeOrder]:
+        """Removes and returns the releases sent before this time that the server may not have received.
+
+        Confirmations are optional, so anything received a moment after a release was sent confirms it as
+        well. A release that was repeated is not returned again."""
+        unconfirmed = []
+        while self._unconfirmed_releases:
+            release = next(iter(self._unconfirmed_releases.values()))
+            if release.sent_at > sent_before:
+                break
+            del self._unconfirmed_releases[release.call]
+            if self.last_heard < release.sent_at + QUIET_AFTER_S and not release.repeated:
+                unconfirmed.append(release)
+        return unconfirmed
+
     def close(self, reason: str) -> None:
         """Closes the connection and counts it under `reason`."""
         self._add_to_counter(f"servers.{reason}")
@@ -231,6 +253,8 @@
         if message.status:
             if message.method == "INVITE" and message.status >= 200:
                 self._handle_final_response(message)
+            elif message.method == "BYE":
+                self._unconfirmed_releases.pop(message.call, None)
             return
         match message.method:
             case "BYE":
@@ -334,6 +358,8 @@
             for order, _ in parts:
                 if isinstance(order, CancelOrder):
                     self._report(AttemptOver(order.attempt, interface.Outcome.CANCELLED))
+                elif isinstance(order, ByeOrder):
+                    self._remember_release(order)
 
     async def _let_readers_run(self) -> None:
         """Lets the readers of the other sockets run before a set-up that was delayed is sent.
@@ -383,6 +409,13 @@
             request.number, order.call, INVITE_CSEQ, request.class_name, time_left_ms, request.description
         )
 
+    def _remember_release(self, release: ByeOrder) -> None:
+        """Keeps a release that was sent until it is confirmed."""
+        release.sent_at = time.time()
+        self._unconfirmed_releases[release.call] = release
+        if len(self._unconfirmed_releases) > MAX_UNCONFIRMED_RELEASES:
+            self._unconfirmed_releases.popitem(last=False)
+
     def _report(self, message: Message) -> None:
         """Puts a message into the core's inbox without waiting.
 
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -20,7 +20,7 @@
     SERVER_SILENCE_S,
     ConnectionPool,
 )
-from harepick.net.server_connection import ByeOrder, ServerConnection
+from harepick.net.server_connection import RELEASE_REPEAT_S, ByeOrder, ServerConnection
 from harepick.net.standing_calls import Dialog
 from harepick.settings import Address
 
@@ -165,6 +165,39 @@
     assert tasks.opened == opened
 
 
+@pytest.mark.parametrize(
+    ("confirmed_by", "repeated"), [("nothing", 1), ("response", 0), ("a later message", 0)]
+)
+async def test_only_a_release_that_may_be_lost_is_repeated_and_only_once(
+    confirmed_by: str, repeated: int
+) -> None:
+    pool, owner, quiet = pool_with_standing_call()
+    lively = ServerConnection(pool)
+    lively.connected = True
+    pool._connections.append(lively)
+    now = time.time()
+    quiet.last_heard = lively.last_heard = pool.last_heard = now
+    release = ByeOrder("c1")
+    assert quiet._encode(release) is not None
+    quiet._remember_release(release)
+    if confirmed_by == "response":
+        confirmation = b"SIP/2.0 200 OK\r\nCall-ID: c1\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n"
+        for message in sip.Decoder().feed(confirmation):
+            await quiet._handle_message(message)
+    elif confirmed_by == "a later message":
+        quiet.last_heard = now + 1.0
+    pool._check(now + RELEASE_REPEAT_S - 0.1)
+    assert len(lively.outbox) == 0
+    lively.last_heard = pool.last_heard = now + RELEASE_REPEAT_S
+    pool._check(now + RELEASE_REPEAT_S + 0.1)
+    assert [len(lively.outbox), owner.counters["servers.releases_repeated"]] == [repeated, repeated]
+    for order in lively.outbox.take():
+        assert lively._encode(order) is not None
+        assert order is release
+        lively._remember_release(release)
+    assert lively.take_unconfirmed_releases(now + 2 * RELEASE_REPEAT_S) == []
+
+
 async def test_release_queued_on_a_failed_connection_goes_out_on_another_open_one() -> None:
     """It was kept for the next connection, though another one was open."""
     pool, _owner, failed = pool_with_standing_call()
--- a/tests/test_quiet_connections.py
+++ b/tests/test_quiet_connections.py
@@ -104,3 +104,30 @@
         except EOFError:
             return True
     return False
+
+
+# Guards against: the release of a caller, sent on a quiet connection, never reaching the server.
+def test_release_of_a_caller_on_a_quiet_connection_is_sent_again_on_another() -> None:
+    platform = peers.Platform()
+    with platform.run() as running:
+        caller = peers.Caller(platform.port)
+        (call, quiet), (_, lively) = set_up_two_calls(platform, caller)
+        # The release goes out on the connection heard last.
+        quiet.send(sip.request("OPTIONS", b"ping", "0" * 16, 1))
+        quiet.next(lambda m: m.method == "OPTIONS" and m.status == 200)
+        caller.send_request(binary.RELEASE, call, 16)
+        assert quiet.next(lambda m: m.method == "BYE").call == call.hex()
+        released_at = time.monotonic()
+        while not (byes := releases_on(lively)):
+            assert time.monotonic() - released_at < LIMIT_WITHOUT_RELEASE_S
+            lively.send(sip.request("OPTIONS", b"ping", "0" * 16, 1))
+        assert byes == [call.hex()]
+        counters = running.counters()
+        assert (counters["servers.sent_bye"], counters["servers.releases_repeated"]) == (2, 1)
+
+
+def releases_on(peer: peers.Peer) -> list[str]:
+    """Reads for 0.2 s; returns the call of the first BYE, if one came."""
+    with suppress(AssertionError):
+        return [peer.next(lambda m: m.method == "BYE" and not m.status, within=0.2).call]
+    return []
