--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -33,6 +33,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 CLUSTER = "review"
+AGENTS = 400  # of a setup server: far more calls than are usual
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ORDERLY_END_S = 6.0  # for a program to end after SIGTERM, at the end of a case
 
@@ -337,7 +338,8 @@
 
 class SetupServer:
     """A sound setup server: answers every set-up at once; a call stands for `hold` seconds, then it releases
-    it on the connection of its set-up, else on any open one, and also on the next one opened.
+    it on the connection of its set-up, else on any open one, and also on the next one opened. It tells its
+    free agents on each new connection, and on four open ones whenever they have changed.
 
     With `admits`, it refuses connections while it holds that many."""
 
@@ -386,6 +388,7 @@
         self.connections.append(side)
         self._case.note(f"{self.name}: connection {side.number} accepted")
         await self.follow_limit()
+        self._tell_free_agents([side])
         for call in list(self._unconfirmed.values()):
             self._write_release(call, side)
         self._unconfirmed.clear()
@@ -415,6 +418,7 @@
                 b"Content-Length: 0", b"Content-Length: %d" % len(body)
             )
             side.writer.write(head + body)
+            self._tell_free_agents(self.connections[:4])
             task = asyncio.create_task(self._release_later(known))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -423,6 +427,7 @@
             if call in self.calls:
                 self.calls[call].released_by_controller = True
             side.writer.write(sip.response(message, 200, b"OK"))
+            self._tell_free_agents(self.connections[:4])
         elif message.method in ("OPTIONS", "CANCEL"):
             side.writer.write(sip.response(message, 200, b"OK"))
 
@@ -435,6 +440,14 @@
         for side in sides:
             self._write_release(call, side)
         self._unconfirmed[call.call] = call
+        self._tell_free_agents(self.connections[:4])
+
+    def _tell_free_agents(self, sides: list[ServerSide]) -> None:
+        free = AGENTS - sum(call.stands for call in self.calls.values())
+        report = b"P-Load: free:%d;size:%d\r\n" % (free, AGENTS)
+        for side in sides:
+            if side.open and not side.writer.transport.is_closing():
+                side.writer.write(sip.request("NOTIFY", b"group", secrets.token_hex(8), 1, report))
 
     def _write_release(self, call: ServerCall, side: ServerSide) -> None:
         self._case.note(f"{self.name}: releases {call.call} on connection {side.number}")
