Accept what earlier settings allowed for its whole time, however many reloads follow

A time limit that one reload had lowered was refused at once.

Cause: SetUpParser.replace_classes computed the dropped classes at each reload from the classes just before it and kept one time for all: the second reload overwrote what the first had dropped. Limits were not compared at all.

Change: each class has the configured time limit and those that earlier settings allowed, each with its own end 2 s after the reload that dropped or lowered it. It works because a further reload only adds to them.

--- a/harepick/interface.py
+++ b/harepick/interface.py
@@ -10,6 +10,10 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+# How long after a reload callers may still use what the settings before it allowed. Those of the platform use
+# the new settings from 1.2 s after it.
+RELOAD_GRACE_S = 2.0
+
 
 class Outcome(Enum):
     """How an attempt ended."""
--- a/harepick/net/setups.py
+++ b/harepick/net/setups.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from harepick import interface
 from harepick.net import binary
@@ -18,8 +18,6 @@
 ATTRIBUTES = re.compile(rb"[a-z]+:-?[0-9]{1,9}(;[a-z]+:-?[0-9]{1,9})*;?")
 ATTRIBUTE_BOUNDS = {"dest": (-1, 65_535), "width": (1, 64), "via": (-1, 65_535), "again": (0, 1)}
 NULL_CALL_ID = bytes(8)
-# Clients move to new classes 1.2 s after a reload and send the old ones until then.
-DROPPED_CLASS_GRACE_S = 2.0
 
 
 class InvalidSetUpError(ValueError):
@@ -52,30 +50,50 @@
     again: bool
 
 
+@dataclass(slots=True)
+class _TimeLimits:
+    """The longest time that set-ups of one class may name, in seconds."""
+
+    current: float = 0.0  # 0: the class is not configured
+    # Longer ones that earlier settings allowed, each with the Unix time until which it is accepted.
+    earlier: list[tuple[float, float]] = field(default_factory=list)
+
+    def replace(self, new: float, now: float) -> None:
+        """Applies new settings; what the ones before allowed is accepted for the time of a reload."""
+        self.earlier = [(limit, until) for limit, until in self.earlier if now < until and limit > new]
+        if self.current > new:
+            self.earlier.append((self.current, now + interface.RELOAD_GRACE_S))
+        self.current = new
+
+    def longest(self, now: float) -> float:
+        """The longest time that is accepted now; 0 if the class is not known."""
+        return max((limit for limit, until in self.earlier if now < until), default=self.current)
+
+
 class SetUpParser:
-    """Parses and validates set-ups against the configured call classes."""
+    """Parses and validates set-ups against the configured call classes.
+
+    Callers go on using the previous settings for a while after a reload. A class that was dropped, or a time
+    limit that was lowered, is therefore accepted for `interface.RELOAD_GRACE_S` after the reload that did so,
+    however many reloads follow."""
 
     def __init__(self, classes: tuple[interface.CallClass, ...]) -> None:
-        self._time_limits = {c.name.encode(): c.give_up for c in classes}
-        self._dropped: dict[bytes, float] = {}  # classes dropped by the last reload
-        self._dropped_until = 0.0
+        self._time_limits = {each.name.encode(): _TimeLimits(each.give_up) for each in classes}
 
     def replace_classes(self, classes: tuple[interface.CallClass, ...], now: float) -> None:
-        """Uses new classes from `now` on; dropped ones are accepted for `DROPPED_CLASS_GRACE_S` more
-        seconds."""
-        time_limits = {c.name.encode(): c.give_up for c in classes}
-        self._dropped = {
-            name: max_time_limit
-            for name, max_time_limit in self._time_limits.items()
-            if name not in time_limits
+        """Uses new classes from `now` on, Unix time in seconds."""
+        new_limits = {each.name.encode(): each.give_up for each in classes}
+        for name in new_limits:
+            self._time_limits.setdefault(name, _TimeLimits())
+        for name, limits in self._time_limits.items():
+            limits.replace(new_limits.get(name, 0.0), now)
+        self._time_limits = {
+            name: limits for name, limits in self._time_limits.items() if limits.longest(now) > 0
         }
-        self._dropped_until = now + DROPPED_CLASS_GRACE_S
-        self._time_limits = time_limits
 
     def _max_time_limit(self, class_name: bytes, now: float) -> float | None:
-        if (max_time_limit := self._time_limits.get(class_name)) is not None:
-            return max_time_limit
-        return self._dropped.get(class_name) if now < self._dropped_until else None
+        limits = self._time_limits.get(class_name)
+        return (limits.longest(now) or None) if limits is not None else None
 
     def known_class(self, class_name: bytes, now: float) -> str | None:
         """Returns the class name as text, or None if there is no such class."""
