Keep a dropped class in the decision module for a time, not for one reload

Callers would have seen: a single_shot call of a class dropped by the reload before last is sent again after a reset, and may take effect twice.

Cause: Controller._apply_settings kept the classes of the settings just before; the second reload forgot those that the first had dropped, and _on_call_arrived takes the first configured class in place of an unknown one.

Change: a dropped class is kept for 4 s, twice the time for which the front accepts it, whatever reloads follow.

--- a/harepick/decide.py
+++ b/harepick/decide.py
@@ -50,6 +50,8 @@
 COLD_RAMP_SHARE = 0.5
 # Share of the cold limit that is used: other instances may see more than their share of the traffic.
 COLD_LIMIT_SHARE = 0.7
+# Longer than callers may use a dropped class, as their calls may wait for this module to take them.
+DROPPED_CLASS_KEEP_S = 2 * interface.RELOAD_GRACE_S
 FORGET_GONE_AFTER_S = 60.0  # until the state of a removed server is dropped; new servers get new ids
 ACTIVITY_GAP_SAMPLES = 16  # samples over which the time between two signs of activity is averaged
 SILENCE_GAPS = 5  # silence is this many mean gaps without activity; its probability by chance is e^-5
@@ -229,7 +231,8 @@
         self.now = now
         self.started_at = now
         self.settings: interface.Settings = settings
-        self.classes: dict[str, interface.CallClass] = {}
+        self.classes: dict[str, interface.CallClass] = {}  # the configured ones, and those dropped lately
+        self.dropped_until: dict[str, float] = {}  # dropped class -> when it is forgotten
         self._apply_settings(settings)
         self.first_tries: dict[tuple[int | None, str], float] = {}  # (number, class) -> time, oldest first
         self.mean_worth = 0.0  # of all calls so far
@@ -284,10 +287,19 @@
     def _apply_settings(self, settings: interface.Settings) -> None:
         """Replaces classes and rules for calls that arrive from now on; the state of the servers stays.
 
-        A dropped class is kept for one more reload: its callers may still be using it."""
-        previous = {item.name: item for item in self.settings.classes} if self.classes else {}
+        A class that is dropped is kept for `DROPPED_CLASS_KEEP_S`: its callers may still be using it."""
+        configured = {item.name: item for item in settings.classes}
+        for name in self.classes:
+            if name not in configured:
+                self.dropped_until.setdefault(name, self.now + DROPPED_CLASS_KEEP_S)
+        self.dropped_until = {
+            name: until
+            for name, until in self.dropped_until.items()
+            if name not in configured and self.now < until
+        }
+        dropped = {name: item for name, item in self.classes.items() if name in self.dropped_until}
         self.settings = settings
-        self.classes = {**previous, **{item.name: item for item in settings.classes}}
+        self.classes = dropped | configured
         self.shortest_aim = min(item.aim for item in settings.classes)
         self.closing_wait = CLOSING_WAIT_SHARE * self.shortest_aim
         self.interval = self.shortest_aim / INTERVALS_PER_AIM
--- a/tests/test_reloads_in_succession.py
+++ b/tests/test_reloads_in_succession.py
@@ -76,3 +76,22 @@
         time.sleep(2.1)
         late = caller.call(time_limit_ms=9000)
         assert caller.final_answer(late).parameters[binary.CAUSE] == bytes([CAUSE_INVALID])
+
+
+def test_dropped_class_keeps_its_effect_however_many_reloads_follow() -> None:
+    """Regression: after the second reload, the decision module took a call of a dropped class for one of the
+    first class; one that must not be repeated was sent again after a reset."""
+    platform = peers.Platform()
+    first, second = platform.config["settings"]["Classes"]
+    platform.config["settings"]["Classes"] = [first, {**second, "Effect": "single_shot"}]
+    with platform.run() as running:
+        caller = peers.Caller(platform.port)
+        reload(platform, running, Classes=[first])
+        for limit in (4, 3):
+            reload(platform, running, Bounds={**platform.config["settings"]["Bounds"], "TryLimit": limit})
+        call = caller.call(class_name=b"b")
+        found = platform.servers[0].invited(within=2.0)
+        assert found is not None and found[1].call == call.hex()
+        found[0].close(reset=True)  # it may have taken effect there
+        assert platform.servers[0].invited(within=1.0) is None, "a single_shot call was sent again"
+        assert caller.final_answer(call).type == binary.RELEASE
