Answer everything that was read before a caller's connection is closed

Cause: Callers.serve cancelled the writer when the reader returned, with the refusal still in the outbox; _handle_message dropped messages beyond the limit; a clash cancelled the connection.

Change: only the client's disconnect ends a connection at once. One that the program has to close takes no further message, has its open set-ups answered and written, and then ends; its input is discarded meanwhile (64 KiB each 10 ms at most), so that a client that leaves is noticed.

--- a/harepick/net/callers.py
+++ b/harepick/net/callers.py
@@ -35,6 +35,7 @@
 # Within this time the handshakes complete that began before new connections were directed to the successor.
 HANDSHAKE_SETTLE_S = 0.05
 MAX_UNCOUNTED_CONNECTIONS = 4  # accepted sockets that `ConnectionLimits` does not count yet
+DISCARD_INTERVAL_S = 0.01  # between reads of input that is discarded
 MESSAGES_PER_TURN = 8  # handled before other tasks run: a flood must not block the event loop for 0.1 s
 
 
@@ -75,7 +76,7 @@
         """Closes the connection: a release names a call by its id, which both calls have."""
         if self.connection.open_set_ups.get(self.call) is self:
             del self.connection.open_set_ups[self.call]  # the close must not give up the other call
-        self.connection.scope.cancel()
+        self.callers.close_when_answered(self.connection)
 
 
 async def _stop_accepting_on(event: anyio.Event, scope: anyio.CancelScope, raw: socket.socket) -> None:
@@ -197,6 +198,9 @@
                     tasks.start_soon(self._write, connection)
                     try:
                         await self._read(connection)
+                        await self._discard_until_answered(connection)
+                    except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+                        pass  # the client has disconnected: no answer is owed
                     finally:
                         connection.mark_callers_gone()
                     tasks.cancel_scope.cancel()
@@ -222,18 +226,21 @@
             self._inbox.put_nowait(CallerGone(call.hex(), caller))
 
     async def _read(self, connection: CallerConnection) -> None:
+        """Handles what the client sends, until that is malformed or invalid too often, or reuses an open id.
+
+        Raises an exception of anyio's streams if the client disconnects."""
         decoder = binary.Decoder()
         while True:
+            data = await connection.stream.receive()
+            now, message_count = time.time(), 0
             try:
-                data = await connection.stream.receive()
-                now, message_count = time.time(), 0
                 for message in decoder.feed(data):
+                    if connection.closing:
+                        return
                     await self._handle_message(connection, message, now)
                     message_count += 1
                     if message_count % MESSAGES_PER_TURN == 0:
                         await anyio.lowlevel.checkpoint()
-            except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
-                return
             except binary.BinaryError as error:
                 self._counters.add("callers.malformed")
                 peer = connection.stream.extra(SocketAttribute.remote_address, None)
@@ -247,6 +254,25 @@
             elif message_count or connection.partial_since is None:
                 connection.partial_since = now  # an incomplete message has begun in this read
 
+    @staticmethod
+    def close_when_answered(connection: CallerConnection) -> None:
+        """Closes the connection once the set-ups that are open on it are answered; it takes no others."""
+        connection.closing = True
+        if connection.nothing_pending:
+            connection.scope.cancel()
+
+    @staticmethod
+    async def _discard_until_answered(connection: CallerConnection) -> None:
+        """Returns once every set-up that was read has its answer written; nothing more is handled.
+
+        What the client still sends is read and discarded, slowly, so that its disconnect is noticed; raises
+        an exception of anyio's streams then."""
+        connection.partial_since = None  # no longer subject to the time limit on messages
+        while not connection.nothing_pending:
+            with anyio.move_on_after(DISCARD_INTERVAL_S):
+                await connection.stream.receive()
+            await anyio.sleep(DISCARD_INTERVAL_S)
+
     @staticmethod
     def _exceeds_invalid_limit(connection: CallerConnection) -> bool:
         """Whether the connection has sent too many invalid messages and is to be closed.
@@ -258,8 +284,6 @@
     async def _handle_message(
         self, connection: CallerConnection, message: binary.Message, now: float
     ) -> None:
-        if self._exceeds_invalid_limit(connection):
-            return
         match message.type:
             case binary.SET_UP:
                 await self._handle_set_up(connection, message, now)
@@ -309,7 +333,7 @@
         caller = BinaryCaller(self, connection, message.call, set_up.request.class_name.decode())
         if message.call in connection.open_set_ups:
             self._counters.add("calls.clashes")
-            connection.scope.cancel()
+            self.close_when_answered(connection)
             return
         connection.open_set_ups[message.call] = caller
         self._mark_as_caller(connection)
@@ -383,3 +407,5 @@
             connection.last_activity = time.time()
             for message in messages:
                 self._counters.add(f"callers.sent_{message.kind}")
+            if connection.closing and connection.nothing_pending:
+                connection.scope.cancel()
--- a/harepick/net/connection_limits.py
+++ b/harepick/net/connection_limits.py
@@ -49,6 +49,7 @@
     open_set_ups: dict[bytes, Caller] = field(default_factory=dict)  # unanswered set-ups, by call id
     standing_calls: set[bytes] = field(default_factory=set)  # calls answered here that still stand
     alive: bool = True
+    closing: bool = False  # takes no more messages; it is closed once its open set-ups are answered
     is_caller: bool = False  # has sent a valid set-up or a release
     had_standing_call: bool = False  # a call answered here came to stand
     invalid_messages: int = 0
--- a/tests/test_invalid_clients.py
+++ b/tests/test_invalid_clients.py
@@ -118,3 +118,56 @@
         other = peers.Caller(platform.port)
         other.call()  # the next connection that proves to be a caller's
         assert other.final_answer(call).parameters[binary.CAUSE] == bytes([16])
+
+
+def test_every_set_up_read_before_the_limit_of_invalid_ones_is_answered() -> None:
+    """Regression: the connection was closed before the last refusal was written, and further set-ups that
+    came in the same read were dropped."""
+    platform = peers.Platform()
+    with platform.run() as running:
+        caller = peers.Caller(platform.port)
+        messages = [
+            binary.Message(
+                binary.SET_UP,
+                bytes([number]) * 8,
+                {binary.CLASS: b"unheard", binary.NUMBER: b"77", binary.DESCRIPTION: b"offer"},
+            )
+            for number in range(1, 31)
+        ]
+        caller.send(b"".join(message.encode() for message in messages))
+        for message in messages:
+            assert caller.final_answer(message.call).type == binary.RELEASE
+        with pytest.raises(DISCONNECTED):
+            caller.next()
+        assert running.counters()["callers.too_bad"] == 1
+
+
+@pytest.mark.parametrize("ending", ["malformed", "open id on this connection", "open id on another"])
+def test_open_set_ups_are_answered_before_their_connection_is_closed(ending: str) -> None:
+    """Regression: a connection that had to be closed gave up the set-ups that were open on it."""
+    platform = peers.Platform()
+    with platform.run() as running:
+        caller, other = peers.Caller(platform.port), peers.Caller(platform.port)
+        calls = [caller.call()]
+        held = [platform.servers[0].invited(within=2.0)]
+        match ending:
+            case "malformed":
+                caller.send(b"\0\0")
+                running.wait_for_counter("callers.malformed")
+            case "open id on this connection":
+                caller.call(call_id=calls[0])
+                running.wait_for_counter("calls.clashes")
+            case _:
+                reused = other.call()
+                held.append(platform.servers[0].invited(within=2.0))
+                caller.call(call_id=reused)
+                running.wait_for_counter("calls.clashes")
+        caller.send(binary.Message(binary.TEST, b"\0" * 8).encode() * 3)  # discarded
+        for found in held:
+            assert found is not None
+            peers.reply(*found, 200, b"answer")
+        assert caller.final_answer(calls[0]).type == binary.ANSWER
+        with pytest.raises(DISCONNECTED):
+            caller.next()
+        if ending == "open id on another":
+            assert other.final_answer(reused).type == binary.ANSWER
