Bound the answers that wait for a caller in bytes

Cause: a caller's outbox was bounded to 2,048 messages of any size, and as many in flight: 64 MiB a connection.

Change: no more is queued once 512 KiB are; the connection then counts as too slow, as at 2,048 messages before.

--- a/harepick/net/connection_limits.py
+++ b/harepick/net/connection_limits.py
@@ -23,6 +23,7 @@
 # to write a message.
 PARTIAL_MESSAGE_TIMEOUT_S = 2.5
 IDLE_TIMEOUT_S = 10.0  # without a call; callers close such a connection themselves after 4 s
+MAX_OUTBOX_BYTES = 512 * 1024  # queued for one caller, beyond what the kernel holds
 CHECK_INTERVAL_S = 0.25  # between checks of the time limits
 
 
@@ -37,6 +38,10 @@
     kind: str
     caller: Caller | None = None  # whom an answer is for, until it is known to be written
 
+    def size(self) -> int:
+        """Bytes of the encoded message."""
+        return len(self.data)
+
 
 @dataclass(eq=False, slots=True)
 class CallerConnection:
@@ -45,7 +50,9 @@
     stream: SocketStream
     last_activity: float  # when the last whole message was received or sent
     opened_at: float = 0.0
-    outbox: Outbox[CallerMessage] = field(default_factory=Outbox)
+    outbox: Outbox[CallerMessage] = field(
+        default_factory=lambda: Outbox(max_bytes=MAX_OUTBOX_BYTES, size_of=CallerMessage.size)
+    )
     open_set_ups: dict[bytes, Caller] = field(default_factory=dict)  # unanswered set-ups, by call id
     standing_calls: set[bytes] = field(default_factory=set)  # calls answered here that still stand
     alive: bool = True
--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -18,6 +18,8 @@
 from harepick.core.messages import Offer
 from harepick.core.timers import Timers
 from harepick.net import binary, sip
+from harepick.net.connection_limits import MAX_OUTBOX_BYTES, CallerMessage
+from harepick.net.outbox import Outbox
 from tests import peers
 from tests.test_engine_orders import CallWorld
 
@@ -122,6 +124,17 @@
     assert len(inbox) == 1
 
 
+def test_caller_that_does_not_read_is_disconnected_at_a_bound_in_bytes() -> None:
+    """Regression: 2,048 answers of 16 KiB could wait for one caller."""
+    outbox: Outbox[CallerMessage] = Outbox(max_bytes=MAX_OUTBOX_BYTES, size_of=CallerMessage.size)
+    answer = CallerMessage(b"", b"a" * 16_384, "answer")
+    for _ in range(MAX_OUTBOX_BYTES // 16_384):
+        assert outbox.put(answer)
+    assert not outbox.put(answer)
+    assert len(outbox.take()) == 32 and outbox.put(answer)
+    assert len(outbox.clear()) == 33 and not len(outbox) and outbox.put(answer)
+
+
 def test_cancelled_timers_let_go_of_their_items() -> None:
     """Regression: a timer kept its item until it was due."""
     timers: Timers[str] = Timers()
