Let one ENUM client at full speed over TCP delay no other

Queries of 60 KB took the process to 1,037 MB.

Cause: _read_tcp handled all that a read had brought before other tasks ran, and nothing bounded the length and the records of a query, a connection's look-ups in progress, its malformed messages, or its unread answers in bytes.

Change: others run after eight queries; one question and few records, 2,048 bytes, checked before the parser; 16 malformed messages, 256 look-ups in progress, 512 KiB of unread answers a connection. What was read is answered before such a connection is closed.

Open: floods over UDP (docs/incidents/), where a client has no connection.

--- a/harepick/enumdns/codec.py
+++ b/harepick/enumdns/codec.py
@@ -27,6 +27,11 @@
 NOT_READY, NETWORK_ERROR = dns.edns.EDECode.NOT_READY, dns.edns.EDECode.NETWORK_ERROR  # RFC 8914
 PROHIBITED = dns.edns.EDECode.PROHIBITED
 
+# A query has one question, and an EDNS record and a signature at most. The longest name takes 255 bytes; the
+# rest is for options such as cookies and padding, each of which costs time to parse.
+MAX_QUERY_BYTES = 2_048
+MAX_ADDITIONAL_RECORDS = 2
+
 Question = tuple[dns.name.Name, int, int]
 
 
@@ -63,7 +68,7 @@
     """Parses a client's message; raises `MalformedError`."""
     if len(data) < HEADER.size:
         raise MalformedError("message is shorter than a DNS header", None)
-    ident, flags, *_ = HEADER.unpack_from(data)
+    ident, flags, questions, answers, authorities, additional = HEADER.unpack_from(data)
     if flags & dns.flags.QR:
         # Never answered: two servers would answer each other's replies without end.
         raise MalformedError("message is a reply, not a query", None)
@@ -72,16 +77,17 @@
         raise MalformedError(
             f"opcode {opcode} is not supported", _header_only(ident, flags, dns.rcode.NOTIMP)
         )
+    form_error = _header_only(ident, flags, dns.rcode.FORMERR)
+    if questions != 1:
+        raise MalformedError(f"query has {questions} questions", form_error)
+    # Checked before the records are parsed, which takes time and memory for each.
+    if len(data) > MAX_QUERY_BYTES or answers or authorities or additional > MAX_ADDITIONAL_RECORDS:
+        raise MalformedError("query is longer, or has other records, than queries do", form_error)
     try:
         message = dns.message.from_wire(data)
         question = message.question[0]
     except (dns.exception.DNSException, ValueError, IndexError) as error:
-        text = f"{type(error).__name__}: {error}"
-        raise MalformedError(text, _header_only(ident, flags, dns.rcode.FORMERR)) from None
-    if len(message.question) != 1:
-        raise MalformedError(
-            "query has more than one question", _header_only(ident, flags, dns.rcode.FORMERR)
-        )
+        raise MalformedError(f"{type(error).__name__}: {error}", form_error) from None
     return Query(message, (question.name, question.rdtype, question.rdclass))
 
 
--- a/harepick/enumdns/listener.py
+++ b/harepick/enumdns/listener.py
@@ -11,10 +11,11 @@
 import time
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 
 import anyio
+import anyio.lowlevel
 import dns.exception
 import dns.message
 import dns.name
@@ -32,6 +33,11 @@
 
 LENGTH_PREFIX = struct.Struct(">H")  # before each message over TCP (RFC 1035)
 SEND_TIMEOUT_S = 2.0
+CLOSE_CHECK_INTERVAL_S = 0.01
+QUERIES_PER_TURN = 8  # of one TCP client, handled before other tasks run
+MAX_MALFORMED = 16  # on one TCP connection, which is closed then
+MAX_LOOKUPS_PER_CONNECTION = 256  # in progress; the next query is read when one of them has ended
+MAX_OUTBOX_BYTES = 512 * 1024  # queued for one TCP client, beyond what the kernel holds
 UDP_RECEIVE_BUFFER_BYTES = 1 << 20  # holds the queries that arrive while the core is busy
 # Outcome of a look-up -> its name in the counters by class.
 OUTCOME_NAMES = {"served": "completed", "refused": "rejected", "failed": "failed"}
@@ -48,6 +54,9 @@
     host: str
     write: Write
     over_udp: bool = True
+    malformed: int = 0  # malformed messages so far
+    lookups: int = 0  # in progress
+    lookup_ended: anyio.Event = field(default_factory=anyio.Event)
 
     def max_answer_size(self, query: codec.Query) -> int:
         """Bytes of the largest answer that the client accepts."""
@@ -113,6 +122,8 @@
 
     def _finish(self, data: bytes, outcome: str) -> None:
         if self._listener.close_lookup(self._key):
+            self._client.lookups -= 1
+            self._client.lookup_ended.set()
             self._listener.counters.add(f"enum.{outcome}")
             self._listener.counters.answered(self.class_name, OUTCOME_NAMES[outcome])
             self._client.write(data)
@@ -181,11 +192,12 @@
                 self.counters.add("enum.turned_away")
                 return
             self._tcp_connections += 1
-            outbox: Outbox[bytes] = Outbox()
+            outbox: Outbox[bytes] = Outbox(max_bytes=MAX_OUTBOX_BYTES, size_of=len)
             try:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._write_tcp, stream, outbox, tasks.cancel_scope)
-                    await self._read_tcp(stream, outbox)
+                    if await self._read_tcp(stream, outbox, tasks.cancel_scope):
+                        await self._wait_until_written(outbox)
                     tasks.cancel_scope.cancel()
             finally:
                 self._tcp_connections -= 1
@@ -194,43 +206,74 @@
                         self._lookups.pop(key, None)
                         lookup.gone = True
                         await lookup.inbox.put(CallerGone(lookup.call, lookup))
+                # The tasks of a connection refer to each other until the garbage collector finds them.
+                outbox.clear()
+
+    async def _read_tcp(
+        self, stream: SocketStream, outbox: Outbox[bytes], connection: anyio.CancelScope
+    ) -> bool:
+        """Handles queries until the client disconnects, or is idle or malformed too often; returns whether it
+        is still connected."""
 
-    async def _read_tcp(self, stream: SocketStream, outbox: Outbox[bytes]) -> None:
         def write(answer: bytes) -> None:
-            if not outbox.put(answer):
+            if not outbox.put(answer):  # the client does not read
                 self.counters.add("enum.unwritten")
+                connection.cancel()
 
         host = str(stream.extra(SocketAttribute.remote_address, ("",))[0])
         client = Client(outbox, host, write, over_udp=False)
         buffer = bytearray()
+        try:
+            return await self._handle_stream(stream, client, buffer)
+        finally:
+            buffer.clear()
+
+    async def _handle_stream(self, stream: SocketStream, client: Client, buffer: bytearray) -> bool:
+        """Handles queries as `_read_tcp`, with what is not handled yet in `buffer`."""
         while True:
             try:
                 with anyio.move_on_after(self._active.config.tcp_idle) as scope:
                     buffer += await stream.receive()
             except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
-                return
+                return False
             if scope.cancelled_caught:
-                if any(key[0] is outbox for key in self._lookups):
+                if client.lookups:
                     continue
-                return
+                return True
+            count = 0
             while len(buffer) >= LENGTH_PREFIX.size:
                 (length,) = LENGTH_PREFIX.unpack_from(buffer)
+                if length > codec.MAX_QUERY_BYTES or client.malformed > MAX_MALFORMED:
+                    self.counters.add("enum.too_bad")
+                    return True
                 if len(buffer) < LENGTH_PREFIX.size + length:
                     break
                 data = bytes(buffer[LENGTH_PREFIX.size : LENGTH_PREFIX.size + length])
                 del buffer[: LENGTH_PREFIX.size + length]
                 await self._handle_query(data, client)
+                count += 1
+                if count % QUERIES_PER_TURN == 0:
+                    await anyio.lowlevel.checkpoint()
+                while client.lookups >= MAX_LOOKUPS_PER_CONNECTION:
+                    client.lookup_ended = anyio.Event()
+                    await client.lookup_ended.wait()
+
+    async def _wait_until_written(self, outbox: Outbox[bytes]) -> None:
+        """Waits until the look-ups of a connection that is to be closed are answered, and written."""
+        while any(key[0] is outbox for key in self._lookups) or len(outbox) or outbox.in_flight:
+            await anyio.sleep(CLOSE_CHECK_INTERVAL_S)
 
     async def _write_tcp(self, stream: SocketStream, outbox: Outbox[bytes], scope: anyio.CancelScope) -> None:
         while True:
             await outbox.wait()
-            data = b"".join(LENGTH_PREFIX.pack(len(answer)) + answer for answer in outbox.clear())
+            data = b"".join(LENGTH_PREFIX.pack(len(answer)) + answer for answer in outbox.take())
             try:
                 with anyio.fail_after(SEND_TIMEOUT_S):
                     await stream.send(data)
             except (TimeoutError, anyio.BrokenResourceError, anyio.ClosedResourceError):
                 scope.cancel()
                 return
+            outbox.written()
 
     async def _handle_query(self, data: bytes, client: Client) -> None:
         now = time.time()
@@ -241,6 +284,7 @@
             query = codec.read_query(data)
         except codec.MalformedError as error:
             self.counters.add("enum.malformed")
+            client.malformed += 1
             self._log.event("enum_malformed", error=str(error))
             if error.answer is not None:
                 client.write(error.answer)
@@ -259,6 +303,7 @@
             return
         self._lookup_count += 1
         call = f"enum-{self._lookup_count}"
+        client.lookups += 1
         lookup = self._lookups[key] = Lookup(self, active.inbox, call, key, query, client, config.call_class)
         await active.inbox.put(
             Offer(
