Let tools that stop half way through a request lock nobody out

Cause: one time limit of 300 s for an idle connection and for an incomplete request; the 65th tool was refused; no bound on what is buffered of all requests.

Change: 5 s from the first byte of a request to its last; the connection that has waited longest makes room, for a further tool and beyond 16 MiB of incomplete requests.

--- a/harepick/store/operator_api.py
+++ b/harepick/store/operator_api.py
@@ -105,8 +105,7 @@
     async def serve(self, stream: ByteStream, frames: Frames) -> None:
         """Serves one connection after its handshake; raises `TimeoutError` if the tool stalls."""
         while True:
-            with anyio.fail_after(IDLE_TIMEOUT_S):
-                request = wire.request_decoder.read(await frames.next())
+            request = wire.request_decoder.read(await frames.next_request(IDLE_TIMEOUT_S))
             self._counters.add("store.requests")
             if request.method == "watch":
                 await self._watch(stream, request)
--- a/harepick/store/transport.py
+++ b/harepick/store/transport.py
@@ -33,6 +33,7 @@
 MAX_UNIDENTIFIED = 64  # accepted connections before their hello; one more closes the oldest
 MAX_PEERS = 64
 MAX_TOOLS = 64
+MAX_TOOL_BUFFER_BYTES = 16 * 1024 * 1024  # of incomplete requests of all tools together
 MAX_OUTBOX = 512  # messages queued for one peer
 
 MessageHandler = Callable[[str, PeerMessage], None]
@@ -83,7 +84,7 @@
         self._peers: dict[str, Peer] = {}
         self._unidentified: list[anyio.CancelScope] = []
         self._incoming: dict[str, anyio.CancelScope] = {}  # peer -> its current connection
-        self._tools = 0
+        self._tools: dict[Frames, anyio.CancelScope] = {}  # of the tools' connections
         self._pins_lock = anyio.Lock()
         self._tasks: TaskGroup | None = None
         self._is_member: Callable[[str], bool] = lambda name: True
@@ -265,7 +266,7 @@
         frames.max_size = wire.MAX_FRAME
         if hello.role == "tool":
             with suppress(anyio.EndOfStream, anyio.BrokenResourceError):  # a tool may disconnect at any time
-                await self._serve_tool(stream, frames)
+                await self._serve_tool(stream, frames, scope)
             return
         if not self._knows_members:  # being added: connect back to this peer until the log names the members
             with suppress(SettingsError):
@@ -292,7 +293,7 @@
         if hello.cluster != identity.cluster:
             return f"cluster {hello.cluster!r}; this is {identity.cluster!r}"
         if hello.role == "tool":
-            return "too many tools" if self._tools >= MAX_TOOLS else ""
+            return "" if self._make_room_for_tool() else "too many tools"
         if hello.role != "peer":
             return f"unknown role {hello.role!r}"
         if hello.replica == identity.replica:
@@ -305,11 +306,33 @@
             return "too many peers"
         return await self._folder_mismatch(hello.replica, hello.folder)
 
-    async def _serve_tool(self, stream: ByteStream, frames: Frames) -> None:
+    def _make_room_for_tool(self) -> bool:
+        """Closes the connection that has waited longest for a request if there are `MAX_TOOLS`; returns False
+        if a request is being served on each."""
+        return len(self._tools) < MAX_TOOLS or self._drop_longest_waiting_tool()
+
+    def _drop_longest_waiting_tool(self) -> bool:
+        """Closes the tools' connection that has waited longest for a request; returns False if none waits."""
+        waiting = [frames for frames in self._tools if frames.waiting_since is not None]
+        if not waiting:
+            return False
+        longest = min(waiting, key=lambda frames: frames.waiting_since or 0.0)
+        self._counters.add("store.tools_dropped")
+        self._tools.pop(longest).cancel()
+        return True
+
+    def _bound_tool_buffers(self) -> None:
+        """Closes connections while more than `MAX_TOOL_BUFFER_BYTES` of incomplete requests are buffered."""
+        while sum(frames.buffered for frames in self._tools) > MAX_TOOL_BUFFER_BYTES:
+            if not self._drop_longest_waiting_tool():
+                return
+
+    async def _serve_tool(self, stream: ByteStream, frames: Frames, scope: anyio.CancelScope) -> None:
         if self.serve_tool is None:
             return
-        self._tools += 1
+        self._tools[frames] = scope
+        frames.on_growth = self._bound_tool_buffers
         try:
             await self.serve_tool(stream, frames)
         finally:
-            self._tools -= 1
+            self._tools.pop(frames, None)
--- a/harepick/store/wire.py
+++ b/harepick/store/wire.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 import struct
+import time
+from collections.abc import Callable
 from typing import Any, Generic, TypeVar
 
 import anyio
@@ -19,6 +21,7 @@
 LENGTH = struct.Struct(">I")
 MAX_HELLO = 4 * 1024  # bytes
 MAX_FRAME = 4 * 1024 * 1024  # bytes
+FRAME_TIMEOUT_S = 5.0  # from the first byte of a tool's request to its last
 READ_SIZE = 256 * 1024  # bytes
 
 Value = TypeVar("Value")
@@ -93,6 +96,13 @@
         self._stream = stream
         self._buffer = bytearray()
         self.max_size = MAX_HELLO
+        self.waiting_since: float | None = None  # for a request; on the clock of `time.monotonic`
+        self.on_growth: Callable[[], None] = lambda: None  # called when more of a request is buffered
+
+    @property
+    def buffered(self) -> int:
+        """Bytes received and not taken yet."""
+        return len(self._buffer)
 
     def pop_buffered(self) -> bytes | None:
         """Takes a complete frame out of the buffer, or returns None; raises `WireError` for one too large."""
@@ -117,6 +127,22 @@
             await self.fill()
         return data
 
+    async def next_request(self, idle_timeout: float) -> bytes:
+        """Waits for a tool's request, `idle_timeout` seconds for its first byte and `FRAME_TIMEOUT_S` for the
+        rest; raises `TimeoutError`, or as `next` does."""
+        self.waiting_since = time.monotonic()
+        try:
+            if not self._buffer:
+                with anyio.fail_after(idle_timeout):
+                    await self.fill()
+            with anyio.fail_after(FRAME_TIMEOUT_S):
+                while (data := self.pop_buffered()) is None:
+                    self.on_growth()
+                    await self.fill()
+            return data
+        finally:
+            self.waiting_since = None
+
 
 class TypedDecoder(Generic[Value]):
     """A MessagePack decoder of one type that raises `WireError`."""
--- a/tests/test_flow_control.py
+++ b/tests/test_flow_control.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import socket
+import struct
 import threading
 import time
 from contextlib import ExitStack, suppress
@@ -15,7 +16,8 @@
 
 from benchmarks.daemons import Cluster, config_text
 from harepick.net import binary
-from harepick.store.wire import Hello, Request, frame
+from harepick.store.transport import MAX_TOOLS
+from harepick.store.wire import FRAME_TIMEOUT_S, MAX_FRAME, Hello, Request, frame
 from tests import peers
 from tests.dnspeers import EnumProgram, Upstream
 from tests.flooder import MESSAGES
@@ -94,3 +96,33 @@
                         sock.sendall(block)
             os.kill(port.process, signal.SIGCONT)
         assert peak_memory_mb(port.process) < MEMORY_MB / 2
+
+
+def stalled_tool(port: int, cluster: str) -> socket.socket:
+    """A tool that has sent most of a request, and sends no more."""
+    sock = socket.create_connection(("127.0.0.1", port), timeout=5.0)
+    sock.sendall(frame(Hello("tool", cluster)))
+    sock.recv(4096)
+    with suppress(OSError):
+        sock.sendall(struct.pack(">I", MAX_FRAME) + b"x" * (MAX_FRAME - 10))
+    return sock
+
+
+@pytest.mark.alone
+def test_tools_that_stop_half_way_through_a_request_lock_nobody_out(tmp_path: Path) -> None:
+    """Regression: 64 of them took 260 MB, and no further tool was admitted for 300 s."""
+    cluster = Cluster(1, tmp_path, config_text(("north", Upstream().port)))
+    cluster.start()
+    (daemon,) = cluster.daemons
+    try:
+        assert daemon.process is not None
+        peers.until(lambda: b'"serving"' in daemon.log.read_bytes(), 20.0, "the start")
+        stalled = [stalled_tool(daemon.store_port, cluster.name) for _ in range(MAX_TOOLS + 20)]
+        cluster.tool("store", "status", "--operator", str(daemon.path))
+        assert peak_memory_mb(daemon.process.pid) < MEMORY_MB / 2
+        started_at = time.monotonic()
+        stalled[-1].settimeout(FRAME_TIMEOUT_S + 2.0)
+        assert stalled[-1].recv(4096) == b"", "it is disconnected"
+        assert time.monotonic() - started_at < FRAME_TIMEOUT_S + 1.0
+    finally:
+        daemon.kill()
