Learn that a client has left while much of what it sent is still to be handled

Cause: the end of a connection comes behind all bytes before it, and the next bytes were received only when each message of those before had been handled.

Change: when a read holds more than eight messages, the connection is read ahead of what is handled, 1 MiB at most and 16 MiB over all; its end marks its callers as gone at once, and its remaining set-ups are not taken. A drain waits for what was read and is not handled.

--- a/harepick/net/callers.py
+++ b/harepick/net/callers.py
@@ -13,7 +13,7 @@
 
 import anyio
 import anyio.lowlevel
-from anyio.abc import SocketAttribute, SocketListener, SocketStream
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 
 from harepick import interface
 from harepick.core.inbox import Inbox
@@ -23,6 +23,7 @@
 from harepick.net import binary
 from harepick.net.connection_limits import CallerConnection, CallerMessage, ConnectionLimits
 from harepick.net.flow_control import pause_reading
+from harepick.net.read_ahead import DISCONNECTED, ReadAhead, ReadAheadBudget
 from harepick.net.setups import InvalidSetUpError, SetUpParser
 from harepick.net.steering import detach_filter, steer_away
 
@@ -123,6 +124,7 @@
         self._limits = ConnectionLimits(max_connections, counters)
         self._pending_releases: deque[CallerMessage] = deque(maxlen=MAX_PENDING_RELEASES)
         self._uncounted_connections = 0
+        self._read_ahead_budget = ReadAheadBudget()
 
     def replace_classes(self, classes: tuple[interface.CallClass, ...]) -> None:
         """Uses the call classes of reloaded settings."""
@@ -135,9 +137,11 @@
 
     @property
     def receiving(self) -> bool:
-        """Whether some connection is new and has sent nothing yet, or has sent an incomplete message. The
-        time limits on connections end both."""
-        return any(connection.awaiting_message for connection in self._limits.connections)
+        """Whether some connection is new and has sent nothing yet, or has sent an incomplete message (the
+        time limits on connections end both), or messages that are not handled yet."""
+        return any(
+            connection.awaiting_message or connection.handling for connection in self._limits.connections
+        )
 
     async def listen(self, listener: SocketListener, closing: anyio.Event) -> None:
         """Accepts connections until `closing`, then closes the listener and goes on serving those it has.
@@ -190,6 +194,7 @@
         """Serves one connection from its acceptance to its end; contains any fault to it."""
         now = time.time()
         connection = CallerConnection(stream, now, opened_at=now)
+        incoming = ReadAhead(stream, self._read_ahead_budget, connection.mark_client_gone)
         if not self._limits.add(connection):
             await anyio.aclose_forcefully(stream)
             return
@@ -199,18 +204,19 @@
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._write, connection)
                     try:
-                        await self._read(connection)
-                        await self._discard_until_answered(connection)
-                    except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
-                        pass  # the client has disconnected: no answer is owed
+                        await self._read(connection, incoming, tasks)
+                        await self._discard_until_answered(connection, incoming)
+                    except DISCONNECTED:
+                        pass  # no answer is owed
                     finally:
-                        connection.mark_callers_gone()
+                        connection.mark_client_gone()
                     tasks.cancel_scope.cancel()
         except Exception as error:
             self._counters.add("callers.faults")
             self._log.event("fault", where="caller", error=repr(error))
         finally:
             self._limits.remove(connection)
+            incoming.close()
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
             self._on_connection_ended(connection)
@@ -223,18 +229,19 @@
                 connection.open_set_ups[message.call] = message.caller
             elif message.kind == "release":
                 self.release(connection, message)
-        connection.mark_callers_gone()
+        connection.mark_client_gone()
         for call, caller in connection.open_set_ups.items():
             self._inbox.put_nowait(CallerGone(call.hex(), caller))
 
-    async def _read(self, connection: CallerConnection) -> None:
+    async def _read(self, connection: CallerConnection, incoming: ReadAhead, tasks: TaskGroup) -> None:
         """Handles what the client sends, until that is malformed or invalid too often, or reuses an open id.
 
         Raises an exception of anyio's streams if the client disconnects."""
         decoder = binary.Decoder()
         while True:
-            data = await connection.stream.receive()
+            data = await incoming.receive()
             now, message_count = time.time(), 0
+            connection.handling = True
             try:
                 for message in decoder.feed(data):
                     if connection.closing:
@@ -242,6 +249,7 @@
                     await self._handle_message(connection, message, now)
                     message_count += 1
                     if message_count % MESSAGES_PER_TURN == 0:
+                        incoming.start(tasks)  # this takes longer: its client may leave meanwhile
                         await anyio.lowlevel.checkpoint()
             except binary.BinaryError as error:
                 self._counters.add("callers.malformed")
@@ -251,6 +259,7 @@
             if self._exceeds_invalid_limit(connection):
                 self._counters.add("callers.too_bad")
                 return
+            connection.handling = incoming.held > 0
             if not decoder.pending:
                 connection.partial_since = None
             elif message_count or connection.partial_since is None:
@@ -264,15 +273,16 @@
             connection.scope.cancel()
 
     @staticmethod
-    async def _discard_until_answered(connection: CallerConnection) -> None:
+    async def _discard_until_answered(connection: CallerConnection, incoming: ReadAhead) -> None:
         """Returns once every set-up that was read has its answer written; nothing more is handled.
 
         What the client still sends is read and discarded, slowly, so that its disconnect is noticed; raises
         an exception of anyio's streams then."""
+        connection.handling = False
         connection.partial_since = None  # no longer subject to the time limit on messages
         while not connection.nothing_pending:
             with anyio.move_on_after(DISCARD_INTERVAL_S):
-                await connection.stream.receive()
+                await incoming.receive()
             await anyio.sleep(DISCARD_INTERVAL_S)
 
     @staticmethod
@@ -321,6 +331,9 @@
 
     async def _handle_set_up(self, connection: CallerConnection, message: binary.Message, now: float) -> None:
         self._counters.add("callers.set_ups")
+        if connection.client_gone:
+            self._counters.add("calls.given_up")
+            return
         try:
             set_up = self._set_up_parser.parse(message, now)
         except InvalidSetUpError as error:
--- a/harepick/net/connection_limits.py
+++ b/harepick/net/connection_limits.py
@@ -56,6 +56,8 @@
     open_set_ups: dict[bytes, Caller] = field(default_factory=dict)  # unanswered set-ups, by call id
     standing_calls: set[bytes] = field(default_factory=set)  # calls answered here that still stand
     alive: bool = True
+    client_gone: bool = False  # its end was read; set-ups that came before it are handled no more
+    handling: bool = False  # some of what was read is not handled yet
     closing: bool = False  # takes no more messages; it is closed once its open set-ups are answered
     is_caller: bool = False  # has sent a valid set-up or a release
     had_standing_call: bool = False  # a call answered here came to stand
@@ -73,9 +75,10 @@
         """Whether the client has sent nothing complete since the acceptance, or an incomplete message."""
         return self.partial_since is not None or self.last_activity == self.opened_at
 
-    def mark_callers_gone(self) -> None:
-        """Marks the callers of the open set-ups as gone, at once: the check before an attempt is sent must
-        not depend on when the core processes the end of the connection."""
+    def mark_client_gone(self) -> None:
+        """Marks the client, and the callers of the open set-ups, as gone, at once: the check before an
+        attempt is sent must not depend on when the core processes the end of the connection."""
+        self.client_gone = True
         for caller in self.open_set_ups.values():
             caller.gone = True
 
