Do not run a call again that must not be repeated when its id comes again

Cause: the engine forgot what a call may have done with its last attempt, and the two processes of an upgrade share nothing. The platform's page has a new id for every set-up, so its own callers do not do this.

Change: the ids of such calls are kept for 60 s from when they are sent, unless no attempt took effect; one that comes again is answered as failed. In an upgrade both processes append to a file in $TMPDIR, which the page keeps over it, before they send. Classes of the effect free are as before, and create no file.

Measured: three tests failed before and pass now; an id whose call was answered with 503 can still be used again.

--- a/harepick/core/call_table.py
+++ b/harepick/core/call_table.py
@@ -28,6 +28,7 @@
     standing_server: str | None = None  # where the call stands
     stood_at: float = 0.0  # time of the answer
     standing_attempt: int = -1  # number of the attempt that was answered
+    may_have_run: bool = False  # an attempt that has ended may have taken effect
     deadline_timer: Timer[Any] | None = None  # until it is answered
     attempt_timer: Timer[Any] | None = None  # of the open attempt
 
--- a/harepick/core/engine.py
+++ b/harepick/core/engine.py
@@ -15,6 +15,7 @@
 
 from harepick import interface
 from harepick.core.call_table import DEFAULT_MAX_REQUEST_BYTES, CallRecord, CallTable
+from harepick.core.effects import EffectJournal, PossibleEffects
 from harepick.core.inbox import Inbox
 from harepick.core.messages import (
     Answered,
@@ -67,6 +68,7 @@
         send_permission: SendPermission | None = None,
         screen: Screen | None = None,
         max_request_bytes: int = DEFAULT_MAX_REQUEST_BYTES,
+        effect_journal: EffectJournal | None = None,
     ) -> None:
         self._inbox = inbox
         self._settings = settings
@@ -80,6 +82,7 @@
         self._timers: Timers[int | Attempt | CallRecord] = Timers()
         self._ready_servers: set[str] = set()  # servers to which set-ups may be sent
         self._start_times: dict[str, float] = {}  # listed servers that are not gone -> last start
+        self._effects = PossibleEffects(effect_journal)
         self._follow_up_events: deque[interface.Event] = deque()  # caused by the actions of this batch
         # Calls given up in this batch, removed at its end: the controller may send an attempt for such a call
         # before it handles `CallerLeft`. Without the record the end of that attempt would not be reported,
@@ -244,6 +247,12 @@
             self._counters.add("calls.clashes")
             offer.caller.duplicate_id()
             return []
+        if not self._controller.may_repeat(offer.class_name) and self._effects.includes(offer.call, now):
+            # The id of a call that may have taken effect and must not be repeated. A refusal would tell its
+            # caller that another try is harmless.
+            self._counters.add("answers.repeated")
+            offer.caller.failed()
+            return []
         if self._closing:  # drained: a successor or the restarted program takes new calls
             self._counters.add("answers.closing")
             offer.caller.refused(0.0)
@@ -327,8 +336,12 @@
             return []
         self._close_attempt(record, attempt)
         self._counters.add(f"attempts.{outcome.value}")
-        if attempt.cancel_requested and outcome not in NO_EFFECT_OUTCOMES:
-            outcome = interface.Outcome.CANCELLED
+        if outcome not in NO_EFFECT_OUTCOMES:
+            record.may_have_run = True
+            if attempt.cancel_requested:
+                outcome = interface.Outcome.CANCELLED
+        elif attempt.sent is not None and not record.may_have_run:
+            self._record_no_effect(record, now)
         elapsed = now - (attempt.sent or attempt.placed_at)
         self._calls.remove_if_ended(record)
         return [
@@ -417,6 +430,16 @@
         self._timers.cancel(record.deadline_timer)
         self._calls.drop_request(record)
 
+    def _record_effect(self, record: CallRecord, now: float) -> None:
+        """Remembers a call that may take effect from now on, unless calls of its class may be repeated."""
+        if not self._controller.may_repeat(record.offer.class_name):
+            self._effects.add(record.offer.call, now)
+
+    def _record_no_effect(self, record: CallRecord, now: float) -> None:
+        """Forgets a call that has been sent, but has not taken effect."""
+        if not self._controller.may_repeat(record.offer.class_name):
+            self._effects.remove(record.offer.call, now)
+
     def _close_attempt(self, record: CallRecord, attempt: Attempt) -> None:
         """Ends the open attempt of a call."""
         attempt.ended = True
@@ -509,8 +532,10 @@
         # The message that its caller has left may still be in the inbox.
         if record is None or record.answered or record.offer.caller.gone:
             return False
-        if self._send_permission is None:
-            return True
-        if attempt.sent is None:
-            attempt.checked_at = now
-        return self._send_permission.may_send(attempt.server)
+        if self._send_permission is not None:
+            if attempt.sent is None:
+                attempt.checked_at = now
+            if not self._send_permission.may_send(attempt.server):
+                return False
+        self._record_effect(record, now)
+        return True
--- a/harepick/decide.py
+++ b/harepick/decide.py
@@ -305,6 +305,11 @@
         self.interval = self.shortest_aim / INTERVALS_PER_AIM
         self.longest_give_up = max(item.give_up for item in self.classes.values())
 
+    def may_repeat(self, class_name: str) -> bool:
+        """Whether a call of this class may be set up again although it may have taken effect."""
+        call_class = self.classes.get(class_name)
+        return call_class is None or call_class.effect == "free"
+
     def avoided(self) -> set[str]:
         """Listed servers, not gone, that get no new calls: draining, or closed by their occupancy."""
         return {
--- a/harepick/net/service.py
+++ b/harepick/net/service.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass, fields, replace
+from pathlib import Path
 from socket import SO_RCVBUF, SOL_SOCKET
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,7 @@
 from harepick.log import Log
 from harepick.net.bus import BusClient
 from harepick.net.callers import HANDSHAKE_SETTLE_S, MAX_UNCOUNTED_CONNECTIONS, Callers
+from harepick.net.effect_file import EffectFile
 from harepick.net.servers import Servers
 from harepick.settings import PlatformSettings, SettingsError, read_platform
 
@@ -167,6 +169,11 @@
         if any(changes.values()):
             self._log.event("gaps", **changes, now=len(screen))
 
+    def _effect_file(self) -> EffectFile | None:
+        """The file shared with the other process of an upgrade; None where the platform gives no folder."""
+        folder = self._environ.get("TMPDIR")
+        return EffectFile(Path(folder), self._config.listen, self._counters) if folder else None
+
     def ready(self) -> bool:
         """Whether the front takes requests: it listens, and is not stopping."""
         return self._serving
@@ -216,6 +223,7 @@
             config.open_cap,
             screen=self._screen,
             max_request_bytes=config.memory // OPEN_REQUESTS_MEMORY_PARTS,
+            effect_journal=self._effect_file(),
         )
         callers = self._callers = Callers(
             settings.classes, inbox, counters, log, max_connections=budget.callers
