--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import socket
 import threading
 from collections.abc import Callable
@@ -17,10 +16,11 @@
 from harepick.core.inbox import Inbox
 from harepick.core.messages import Offer
 from harepick.core.timers import Timers
-from harepick.net import binary, sip
+from harepick.net import sip
 from harepick.net.connection_limits import MAX_OUTBOX_BYTES, CallerMessage
 from harepick.net.outbox import Outbox
 from tests import peers
+from tests.flooder import new_set_up
 from tests.test_engine_orders import CallWorld
 
 MEMORY_MB = 192  # the platform's limit; above it the program is killed
@@ -36,13 +36,7 @@
 
 def large_set_up() -> bytes:
     """A set-up of nearly the longest size, with a new id."""
-    fields = {
-        binary.CLASS: b"a",
-        binary.TIME_LIMIT: b"9000",
-        binary.NUMBER: os.urandom(8).hex().encode(),
-        binary.DESCRIPTION: LARGE_DESCRIPTION,
-    }
-    return binary.Message(binary.SET_UP, os.urandom(8), fields).encode()
+    return new_set_up(LARGE_DESCRIPTION)
 
 
 def send_at_full_speed(port: int, message: Callable[[], bytes], stop: threading.Event) -> None:
